--- /dev/null
+++ b/src/config/config.h
@@ -0,0 +1,46 @@
+// The configuration, decoded once into plain values (simdjson stays inside config.cpp).
+#pragma once
+
+#include <cstdint>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "scalepoint/policy.h"
+
+namespace scalepoint::config {
+
+// What is wrong, in one line that names the field.
+struct Bad : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+struct Endpoint {
+    std::string host;
+    std::uint16_t port = 0;
+    auto operator<=>(const Endpoint&) const = default;
+};
+Endpoint parseEndpoint(std::string_view text, std::string_view field);  // an IPv4 address and a port
+
+// One list as discovery gives it: for the module, and where each node listens.
+struct HostList {
+    NodeList list;
+    std::vector<Endpoint> addresses;    // beside list.nodes
+};
+HostList parseHostList(std::string_view json);
+
+struct Config {
+    std::string name;
+    Endpoint listen, discovery;
+    Settings settings;
+    HostList known;                     // kind Saved
+    std::vector<Endpoint> peers;        // by host number, this one included
+    Endpoint peerListen, peersAll;      // port 0: none
+    int sockets = 1024;
+    Micros connectTimeoutUs = 250'000, connIdleUs = 30'000'000;
+};
+Config parseConfig(std::string_view json);
+std::string readFile(const std::string& path);
+
+}  // namespace scalepoint::config
--- /dev/null
+++ b/src/core/reducer.cpp
@@ -0,0 +1,213 @@
+#include "core/reducer.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace scalepoint::core {
+namespace {
+
+// Part of the drain grace within which a decided attempt must write its first byte: the rest is for news that
+// was told to this host but not read yet.
+constexpr double kGracePart = 0.5;
+
+}  // namespace
+
+State::State(const Settings& settings, const Limits& limits, Micros now)
+    : settings_(settings), limits_(limits), now_(now), policy_(settings, now) {}
+
+Micros State::nextWake() const { return alarms_.empty() ? kNoWake : alarms_.begin()->at; }
+
+void State::tell(const Event& event) {
+    touched_ = true;
+    policy_.on(now_, event);
+}
+
+// ---------------------------------------------------------------- inputs
+
+void State::take(const Arrived& in) {
+    const auto [it, fresh] = requests_.try_emplace(in.request.id);
+    if (!fresh) return;
+    it->second.deadlineUs = in.request.deadlineUs;
+    it->second.cell = in.request.cell;
+    alarms_.insert({in.request.deadlineUs, Due::Overdue, in.request.id, 0});
+    ++counters_.taken;
+    ++open_;
+    tell(in.request);
+}
+
+void State::take(Ended in) {
+    const auto it = requests_.find(in.id);
+    if (it == requests_.end() || !it->second.out.contains(in.attempt)) {
+        ++counters_.late;                                    // stopped or timed out before: already told
+        return;
+    }
+    const int attempt = in.attempt;
+    endAttempt(it, attempt, std::move(in));
+}
+
+void State::take(const Streaming& in) {
+    const auto it = requests_.find(in.id);
+    if (it == requests_.end() || it->second.done) return;
+    const auto attempt = it->second.out.find(in.attempt);
+    if (attempt == it->second.out.end()) return;
+    it->second.streaming = true;
+    tell(StreamStarted{in.id, in.attempt, attempt->second.node, now_ - attempt->second.startedAt});
+}
+
+void State::take(const ClientGone& in) {
+    const auto it = requests_.find(in.id);
+    if (it == requests_.end() || it->second.done) return;
+    ++counters_.gone;
+    finish(it->second);
+    tell(RequestGone{in.id});
+    forget(it);
+}
+
+void State::take(News in) {
+    for (const auto& node : in.list.nodes) nodeCells_[node.id] = node.cell;
+    tell(in.list);
+}
+
+void State::take(Heard in) { tell(PeerMessage{in.from, std::move(in.bytes)}); }
+
+void State::take(Probed in) {
+    tell(ProbeAnswered{std::move(in.node), in.outcome, in.tookUs, std::move(in.report)});
+}
+
+void State::take(const Wake&) {
+    while (!alarms_.empty() && alarms_.begin()->at <= now_) {
+        const Alarm alarm = *alarms_.begin();
+        alarms_.erase(alarms_.begin());
+        if (alarm.due == Due::Timer) {
+            tell(TimerFired{alarm.what});
+            continue;
+        }
+        const auto it = requests_.find(alarm.what);
+        if (it == requests_.end()) continue;
+        if (alarm.due == Due::AttemptTimeout) {
+            if (!it->second.out.contains(alarm.attempt)) continue;
+            effects_.push_back(StopAttempt{alarm.what, alarm.attempt});
+            endAttempt(it, alarm.attempt, {alarm.what, alarm.attempt, Outcome::Timeout, 0, 0, {}});
+        } else if (!it->second.done && it->second.out.empty()) {
+            // The module answers well before; this holds the rule should it ever not.
+            ++counters_.overdue;
+            ++counters_.failed;
+            finish(it->second);
+            effects_.push_back(FailClient{alarm.what});
+            tell(RequestGone{alarm.what});
+            forget(it);
+        }
+    }
+}
+
+void State::take(const CloseBatch&) {
+    while (touched_) {
+        touched_ = false;
+        ++counters_.batches;
+        for (const auto& action : policy_.finish(now_)) std::visit([this](const auto& a) { act(a); }, action);
+        for (auto& ended : std::exchange(moot_, {})) {
+            const auto it = requests_.find(ended.id);
+            ++counters_.outcomes[static_cast<std::size_t>(Outcome::Moot)];
+            tell(AttemptEnded{ended.id, ended.attempt, {}, Outcome::Moot, 0, it == requests_.end() || it->second.done,
+                              0, 0, {}});
+        }
+    }
+}
+
+// An attempt's end: the first success is the answer, a broken stream is the end too; all else is the module's.
+void State::endAttempt(Requests::iterator it, int attempt, Ended how) {
+    Live& live = it->second;
+    const Attempt was = std::move(live.out.at(attempt));
+    live.out.erase(attempt);
+    ++counters_.outcomes[static_cast<std::size_t>(how.outcome)];
+    if (!live.done && how.outcome == Outcome::Ok) {
+        ++counters_.delivered;
+        finish(live);
+        effects_.push_back(Deliver{how.id, attempt});
+    } else if (!live.done && live.streaming) {
+        ++counters_.failed;
+        finish(live);
+        effects_.push_back(FailClient{how.id});
+    }
+    tell(AttemptEnded{how.id, attempt, was.node, how.outcome, now_ - was.startedAt, live.done, how.usePercent,
+                      how.elsewhere, std::move(how.report)});
+    forget(it);
+}
+
+void State::finish(Live& live) {
+    live.done = true;
+    --open_;
+}
+
+void State::forget(Requests::iterator it) {
+    if (it->second.done && it->second.out.empty()) requests_.erase(it);
+}
+
+// ---------------------------------------------------------------- the module's actions
+
+bool State::sendable(const Live& live, const std::string& node) const {
+    const auto cell = nodeCells_.find(node);
+    if (live.done || cell == nodeCells_.end() || now_ >= live.deadlineUs) return false;
+    return live.attempts <= settings_.maxAttempts && (live.cell < 0 || live.cell == cell->second);
+}
+
+void State::act(const Send& a) {
+    const auto it = requests_.find(a.id);
+    const int attempt = it == requests_.end() ? 0 : it->second.attempts++;
+    if (it == requests_.end() || !sendable(it->second, a.node)) {
+        moot_.push_back({a.id, attempt, Outcome::Moot, 0, 0, {}});
+        return;
+    }
+    Live& live = it->second;
+    ++counters_.attempts;
+    Attempt out{a.node, now_, live.deadlineUs};
+    if (a.timeoutUs != 0) out.giveUpAt = std::min(out.giveUpAt, now_ + std::max<Micros>(0, a.timeoutUs));
+    Micros firstByte = limits_.connectUs;
+    if (settings_.drainGraceUs > 0)
+        firstByte = std::min(firstByte, Micros(kGracePart * double(settings_.drainGraceUs)));
+    effects_.push_back(StartAttempt{a.id, attempt, a.node, now_ + firstByte, out.giveUpAt});
+    alarms_.insert({out.giveUpAt, Due::AttemptTimeout, a.id, attempt});
+    live.out.emplace(attempt, std::move(out));
+}
+
+void State::act(const Refuse& a) {
+    const auto it = requests_.find(a.id);
+    if (it == requests_.end() || it->second.done) return;
+    ++counters_.refused;
+    finish(it->second);
+    effects_.push_back(RefuseClient{a.id, a.retryAfterUs});
+    forget(it);
+}
+
+void State::act(const Fail& a) {
+    const auto it = requests_.find(a.id);
+    if (it == requests_.end() || it->second.done) return;
+    ++counters_.failed;
+    finish(it->second);
+    effects_.push_back(FailClient{a.id});
+    forget(it);
+}
+
+void State::act(const Cancel& a) {
+    const auto it = requests_.find(a.id);
+    if (it == requests_.end() || !it->second.out.contains(a.attempt)) return;
+    if (it->second.streaming) return;                        // it belongs to the client now
+    effects_.push_back(StopAttempt{a.id, a.attempt});
+    endAttempt(it, a.attempt, {a.id, a.attempt, Outcome::Cancelled, 0, 0, {}});
+}
+
+void State::act(const ProbeNode& a) { effects_.push_back(ProbeStart{a.node}); }
+void State::act(const TellPeer& a) { effects_.push_back(Tell{a.to, a.bytes}); }
+void State::act(const SetTimer& a) {
+    alarms_.insert({now_ + std::max<Micros>(1, a.inUs), Due::Timer, a.token, 0});
+}
+void State::act(const WatchList& a) { effects_.push_back(Watch{a.on}); }
+void State::act(const Note& a) { effects_.push_back(Say{a.text}); }
+
+Effects reduce(State& state, Micros now, Input input) {
+    state.now_ = std::max(state.now_, now);
+    std::visit([&](auto&& in) { state.take(std::forward<decltype(in)>(in)); }, std::move(input));
+    return std::exchange(state.effects_, {});
+}
+
+}  // namespace scalepoint::core
--- /dev/null
+++ b/src/http/node_client.cpp
@@ -0,0 +1,117 @@
+#include "http/node_client.h"
+
+#include <fmt/format.h>
+
+namespace scalepoint::http {
+namespace {
+
+constexpr std::size_t kMostAnswer = 256 * 1024;              // four times what the platform lets a body be
+constexpr std::chrono::milliseconds kProbeTimeout{250};
+
+}  // namespace
+
+NodeAttempt::NodeAttempt(net::Engine& engine, net::NodePool& pool, const net::AttemptOrder& order,
+                         std::shared_ptr<const Message> message, Keep keep)
+    : engine_(engine), pool_(pool), order_(order), message_(std::move(message)), keep_(std::move(keep)) {}
+
+void NodeAttempt::start() {
+    ticket_ = pool_.acquire(order_.node, [self = shared_from_this()](std::shared_ptr<net::Connection> connection) {
+        if (!self->over_) self->connected(std::move(connection));
+    });
+}
+
+void NodeAttempt::connected(std::shared_ptr<net::Connection> connection) {
+    ticket_ = nullptr;
+    const auto now = engine_.now();
+    // Past its time the node may have been told to drain meanwhile: not a byte goes out.
+    if (!connection || now > order_.firstByteBy) {
+        if (connection) pool_.release(std::move(connection));
+        end({order_.id, order_.attempt, Outcome::ConnectFailed, 0, 0, {}});
+        return;
+    }
+    const auto host = fmt::format("{}:{}", order_.node.host, order_.node.port);
+    exchange_ = std::make_shared<net::Exchange>(
+        std::move(connection), forNode(*message_, host, order_.giveUpAt - now), kMostAnswer,
+        [self = shared_from_this()](net::Exchange::Result result, Answer answer) {
+            if (!self->over_) self->answered(result, std::move(answer));
+        });
+    exchange_->start();
+}
+
+void NodeAttempt::answered(net::Exchange::Result result, Answer answer) {
+    core::Ended ended;
+    if (result == net::Exchange::Result::NotWritten) ended.outcome = Outcome::ConnectFailed;
+    else if (result == net::Exchange::Result::Broken) ended.outcome = Outcome::Reset;
+    else ended = readAnswer(answer, engine_.settings());
+    ended.id = order_.id;
+    ended.attempt = order_.attempt;
+    if (auto connection = exchange_->reusable()) pool_.release(std::move(connection));
+    if (ended.outcome == Outcome::Ok) keep_(order_.attempt, std::move(answer));
+    end(std::move(ended));
+}
+
+void NodeAttempt::end(core::Ended how) {
+    over_ = true;
+    exchange_ = nullptr;
+    engine_.ended(std::move(how));
+}
+
+void NodeAttempt::abandon() {
+    over_ = true;
+    ticket_ = nullptr;
+    if (exchange_) exchange_->abandon();
+    exchange_ = nullptr;
+}
+
+namespace {
+
+class Probe : public std::enable_shared_from_this<Probe> {
+public:
+    Probe(net::Engine& engine, net::NodePool& pool, std::string node)
+        : engine_(engine), pool_(pool), node_(std::move(node)), since_(engine.now()), timer_(engine.io()) {}
+    void start(const config::Endpoint& at) {
+        timer_.expires_after(kProbeTimeout);
+        timer_.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
+            if (!error) self->end(Outcome::Timeout, {});
+        });
+        ticket_ = pool_.acquire(at, [self = shared_from_this(), at](std::shared_ptr<net::Connection> connection) {
+            if (!connection) return self->end(Outcome::ConnectFailed, {});
+            self->exchange_ = std::make_shared<net::Exchange>(
+                std::move(connection), fmt::format("GET /metrics/load HTTP/1.1\r\nHost: {}:{}\r\n\r\n", at.host, at.port),
+                kMostAnswer, [self](net::Exchange::Result result, const Answer& answer) {
+                    if (result != net::Exchange::Result::Answered) return self->end(Outcome::Reset, {});
+                    if (auto whole = self->exchange_->reusable()) self->pool_.release(std::move(whole));
+                    const auto ok = answer.result_int() == 200;
+                    self->end(ok ? Outcome::Ok : Outcome::Error, readLoad(answer.body(), self->engine_.settings()));
+                });
+            self->exchange_->start();
+        });
+    }
+
+private:
+    void end(Outcome outcome, std::vector<double> report) {
+        if (over_) return;
+        over_ = true;
+        timer_.cancel();
+        ticket_ = nullptr;
+        if (exchange_) exchange_->abandon();
+        exchange_ = nullptr;
+        engine_.probed({node_, outcome, engine_.now() - since_, std::move(report)});
+    }
+    net::Engine& engine_;
+    net::NodePool& pool_;
+    std::string node_;
+    Micros since_;
+    boost::asio::steady_timer timer_;
+    std::shared_ptr<net::NodePool::Ticket> ticket_;
+    std::shared_ptr<net::Exchange> exchange_;
+    bool over_ = false;
+};
+
+}  // namespace
+
+void probe(net::Engine& engine, net::NodePool& pool, const std::string& node, const config::Endpoint& at) {
+    std::make_shared<Probe>(engine, pool, node)->start(at);
+}
+
+}  // namespace scalepoint::http
--- /dev/null
+++ b/src/http/platform.h
@@ -0,0 +1,29 @@
+// The platform's words: what its requests say in headers, and what nodes say in theirs.
+#pragma once
+
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <string>
+#include <variant>
+
+#include "core/reducer.h"
+
+namespace scalepoint::http {
+
+using Message = boost::beast::http::request<boost::beast::http::string_body>;
+using Answer = boost::beast::http::response<boost::beast::http::string_body>;
+
+struct BadField { std::string what; };                       // names the field
+struct Asked { Request request; Micros waitUs = 0; };        // waitUs: from the client's send
+std::variant<Asked, BadField> readRequest(const Message& message, const Settings& settings);
+
+// What a node's answer means for the attempt; the outcome of an answer that came whole.
+core::Ended readAnswer(const Answer& answer, const Settings& settings);
+std::vector<double> readLoad(std::string_view load, const Settings& settings);
+
+// The request as a node gets it: as it came, but for the connection's own fields and the time left.
+std::string forNode(const Message& message, const std::string& host, Micros waitUs);
+std::string forClient(int status, std::string_view fields, std::string_view body, bool keepAlive);
+std::string retryAfter(Micros us);                           // decimal seconds
+
+}  // namespace scalepoint::http
--- /dev/null
+++ b/src/net/discovery.cpp
@@ -0,0 +1,89 @@
+#include "net/discovery.h"
+
+#include <fmt/format.h>
+
+namespace scalepoint::net {
+namespace {
+
+constexpr std::chrono::milliseconds kWait{10'000};           // how long a watch may stay quiet
+constexpr std::chrono::milliseconds kPatience{2'500};        // and how much later its answer counts as failed
+constexpr std::size_t kMostList = 4 * 1024 * 1024;
+
+}  // namespace
+
+Discovery::Discovery(Engine& engine, const config::Endpoint& at)
+    : engine_(engine),
+      at_(at),
+      pool_(engine.io(), {2, std::chrono::seconds(1), std::chrono::seconds(10)}),
+      timeout_(engine.io()) {}
+
+void Discovery::watch(bool on) {
+    on_ = on;
+    if (!on) {
+        stop();
+    } else if (!calling_) {
+        call();
+    }
+}
+
+void Discovery::stop() {
+    on_ = calling_ = false;
+    ticket_ = nullptr;
+    if (exchange_) exchange_->abandon();
+    exchange_ = nullptr;
+    timeout_.cancel();
+    pool_.clear();
+}
+
+void Discovery::call() {
+    calling_ = true;
+    ++counters_.calls;
+    timeout_.expires_after(kWait + kPatience);
+    timeout_.async_wait([this](const boost::system::error_code& error) {
+        if (!error && calling_) fail("no answer in time");
+    });
+    ticket_ = pool_.acquire(at_, [this](std::shared_ptr<Connection> connection) {
+        if (connection) send(std::move(connection));
+        else fail("no connection");
+    });
+}
+
+void Discovery::send(std::shared_ptr<Connection> connection) {
+    auto request = fmt::format(
+        "GET /discovery/hosts?after={}&wait_ms={} HTTP/1.1\r\nHost: {}:{}\r\nAccept: application/json\r\n\r\n",
+        engine_.listVersion(), kWait.count(), at_.host, at_.port);
+    exchange_ = std::make_shared<Exchange>(
+        std::move(connection), std::move(request), kMostList,
+        [this](Exchange::Result result, const Exchange::Response& response) { answered(result, response); });
+    exchange_->start();
+}
+
+void Discovery::answered(Exchange::Result result, const Exchange::Response& response) {
+    const auto exchange = std::exchange(exchange_, nullptr);
+    if (auto connection = exchange->reusable()) pool_.release(std::move(connection));
+    if (result != Exchange::Result::Answered) return fail("the connection broke");
+    if (response.result_int() != 200) return fail("an answer other than 200");
+    try {
+        engine_.news(config::parseHostList(response.body()));
+    } catch (const config::Bad& bad) {
+        ++counters_.malformed;
+        engine_.logger().warn("discovery: list dropped, {}", bad.what());
+        return fail("a malformed list");
+    }
+    ++counters_.answers;
+    if (on_) call();                                         // at once: a watch goes on within 200 ms
+}
+
+// The module hears of it and asks again when it wants to.
+void Discovery::fail(const char* why) {
+    ++counters_.failed;
+    calling_ = false;
+    ticket_ = nullptr;
+    if (exchange_) exchange_->abandon();
+    exchange_ = nullptr;
+    timeout_.cancel();
+    engine_.logger().warn("discovery: call failed, {}", why);
+    engine_.lost();
+}
+
+}  // namespace scalepoint::net
--- /dev/null
+++ b/src/net/discovery.h
@@ -0,0 +1,35 @@
+// The discovery client: one watch after another, each on what the last answer left.
+#pragma once
+
+#include <string>
+
+#include "net/engine.h"
+#include "net/exchange.h"
+
+namespace scalepoint::net {
+
+class Discovery {
+public:
+    struct Counters { std::uint64_t calls = 0, answers = 0, failed = 0, malformed = 0; };
+    Discovery(Engine& engine, const config::Endpoint& at);
+    void watch(bool on);                                     // as the module asks; a running watch goes on
+    void stop();
+    const Counters& counters() const { return counters_; }
+
+private:
+    void call();
+    void send(std::shared_ptr<Connection> connection);
+    void answered(Exchange::Result result, const Exchange::Response& response);
+    void fail(const char* why);
+
+    Engine& engine_;
+    config::Endpoint at_;
+    NodePool pool_;
+    boost::asio::steady_timer timeout_;
+    std::shared_ptr<NodePool::Ticket> ticket_;
+    std::shared_ptr<Exchange> exchange_;
+    bool on_ = false, calling_ = false;
+    Counters counters_;
+};
+
+}  // namespace scalepoint::net
--- /dev/null
+++ b/src/net/engine.cpp
@@ -0,0 +1,144 @@
+#include "net/engine.h"
+
+#include <boost/asio/post.hpp>
+
+namespace scalepoint::net {
+
+Engine::Engine(boost::asio::io_context& io, const config::Config& config, log::Logger& logger)
+    : io_(io),
+      logger_(logger),
+      settings_(config.settings),
+      known_(config.known),
+      state_(config.settings, core::Limits{config.connectTimeoutUs}, clock_.now()),
+      wake_(io) {}
+
+void Engine::start() {
+    news(std::move(known_));
+    closeBatch();
+}
+
+void Engine::stop() {
+    stopped_ = true;
+    wake_.cancel();
+    for (auto& [id, live] : live_)
+        for (auto& [number, attempt] : live.out)
+            if (attempt) attempt->abandon();
+    live_.clear();
+}
+
+RequestId Engine::submit(Request request, std::shared_ptr<Transfer> transfer) {
+    request.id = ++lastId_;
+    const auto id = request.id;
+    live_[id].transfer = std::move(transfer);
+    put(core::Arrived{std::move(request)});
+    return id;
+}
+
+void Engine::gone(RequestId id) {
+    finish(id);
+    put(core::ClientGone{id});
+}
+
+void Engine::news(config::HostList hosts) {
+    for (std::size_t i = 0; i < hosts.list.nodes.size(); ++i)
+        if (hosts.addresses[i].port != 0) addresses_[hosts.list.nodes[i].id] = hosts.addresses[i];
+    listVersion_ = hosts.list.version;
+    put(core::News{std::move(hosts.list)});
+}
+
+void Engine::lost() { put(core::News{{ListKind::Lost, listVersion_, {}}}); }
+
+// Inputs change the state at once; the module decides when all that was ready together has been put in.
+void Engine::put(core::Input input) {
+    if (stopped_) return;
+    if (const auto* ended = std::get_if<core::Ended>(&input)) {
+        const auto it = live_.find(ended->id);
+        if (it != live_.end()) it->second.out.erase(ended->attempt);
+    }
+    const auto id = std::holds_alternative<core::Ended>(input) ? std::get<core::Ended>(input).id : 0;
+    run(core::reduce(state_, clock_.now(), std::move(input)));
+    if (const auto it = live_.find(id); it != live_.end() && it->second.done && it->second.out.empty())
+        live_.erase(it);
+    if (closing_) return;
+    closing_ = true;
+    boost::asio::post(io_, [this] { closeBatch(); });
+}
+
+void Engine::closeBatch() {
+    closing_ = false;
+    if (stopped_) return;
+    run(core::reduce(state_, clock_.now(), core::CloseBatch{}));
+    armWake();
+}
+
+void Engine::armWake() {
+    const auto at = state_.nextWake();
+    if (at == wakeAt_ || at == core::State::kNoWake) return;
+    wakeAt_ = at;
+    wake_.expires_at(clock_.at(at));
+    wake_.async_wait([this](const boost::system::error_code& error) {
+        if (error || stopped_) return;
+        wakeAt_ = core::State::kNoWake;
+        put(core::Wake{});
+    });
+}
+
+void Engine::run(const core::Effects& effects) {
+    for (const auto& effect : effects) std::visit([this](const auto& e) { run(e); }, effect);
+}
+
+void Engine::run(const core::StartAttempt& e) {
+    const auto it = live_.find(e.id);
+    const auto address = addresses_.find(e.node);
+    if (it == live_.end() || !it->second.transfer || address == addresses_.end()) {
+        put(core::Ended{e.id, e.attempt, Outcome::ConnectFailed, 0, 0, {}});
+        return;
+    }
+    it->second.out[e.attempt] = nullptr;                     // it may end before start() returns
+    auto attempt = it->second.transfer->start({e.id, e.attempt, address->second, e.firstByteBy, e.giveUpAt});
+    const auto now = live_.find(e.id);
+    if (now == live_.end()) return;
+    if (const auto slot = now->second.out.find(e.attempt); slot != now->second.out.end())
+        slot->second = std::move(attempt);
+}
+
+void Engine::run(const core::StopAttempt& e) { dropAttempt(e.id, e.attempt); }
+
+void Engine::dropAttempt(RequestId id, int attempt) {
+    const auto it = live_.find(id);
+    if (it == live_.end()) return;
+    const auto slot = it->second.out.find(attempt);
+    if (slot == it->second.out.end()) return;
+    const auto held = std::move(slot->second);
+    it->second.out.erase(slot);
+    if (held) held->abandon();
+    if (it->second.done && it->second.out.empty()) live_.erase(it);
+}
+
+std::shared_ptr<Transfer> Engine::finish(RequestId id) {
+    const auto it = live_.find(id);
+    if (it == live_.end() || it->second.done) return nullptr;
+    it->second.done = true;
+    const auto transfer = it->second.transfer;
+    if (it->second.out.empty()) live_.erase(it);
+    return transfer;
+}
+
+void Engine::run(const core::Deliver& e) {
+    if (const auto transfer = finish(e.id)) transfer->deliver(e.attempt);
+}
+void Engine::run(const core::RefuseClient& e) {
+    if (const auto transfer = finish(e.id)) transfer->refuse(e.retryAfterUs);
+}
+void Engine::run(const core::FailClient& e) {
+    if (const auto transfer = finish(e.id)) transfer->fail();
+}
+void Engine::run(const core::Tell& e) { if (outlets_.tell) outlets_.tell(e.to, e.bytes); }
+void Engine::run(const core::Watch& e) { if (outlets_.watch) outlets_.watch(e.on); }
+void Engine::run(const core::ProbeStart& e) {
+    const auto address = addresses_.find(e.node);
+    if (address != addresses_.end() && outlets_.probe) outlets_.probe(e.node, address->second);
+}
+void Engine::run(const core::Say& e) { logger_.info("module: {}", e.text); }
+
+}  // namespace scalepoint::net
--- /dev/null
+++ b/src/net/exchange.cpp
@@ -0,0 +1,82 @@
+#include "net/exchange.h"
+
+namespace scalepoint::net {
+namespace http = boost::beast::http;
+
+Exchange::Exchange(std::shared_ptr<Connection> connection, std::string request, std::size_t bodyLimit, Done done)
+    : connection_(std::move(connection)), request_(std::move(request)), done_(std::move(done)) {
+    parser_.eager(true);
+    parser_.body_limit(bodyLimit);
+}
+
+void Exchange::start() { write(); }
+
+void Exchange::write() {
+    auto& out = connection_->out;
+    put_ += out.put(std::string_view(request_).substr(put_));
+    if (out.size() == 0) {
+        read();
+        return;
+    }
+    connection_->socket.async_write_some(
+        out.data(), [self = shared_from_this()](const boost::system::error_code& error, std::size_t n) {
+            if (!self->done_) return;
+            self->connection_->out.consume(n);
+            if (error) self->finish(Result::NotWritten);
+            else self->write();
+        });
+}
+
+void Exchange::read() {
+    connection_->socket.async_read_some(
+        connection_->in.room(), [self = shared_from_this()](const boost::system::error_code& error, std::size_t n) {
+            if (!self->done_) return;
+            self->connection_->in.commit(n);
+            if (error && error != boost::asio::error::eof) self->finish(Result::Broken);
+            else self->parse(bool(error));
+        });
+}
+
+void Exchange::parse(bool ended) {
+    auto& in = connection_->in;
+    boost::system::error_code error;
+    while (in.size() > 0 && !parser_.is_done()) {
+        const auto used = parser_.put(in.data(), error);
+        in.consume(used);
+        if (error == http::error::need_more) {
+            if (in.space() == 0) break;                      // a header that no ring can hold
+            error = {};
+            if (used == 0) break;
+        }
+        if (error) break;
+    }
+    if (!error && ended && !parser_.is_done() && parser_.got_some()) parser_.put_eof(error);
+    if (parser_.is_done()) {
+        reusable_ = !ended && !error && parser_.get().keep_alive() && in.size() == 0;
+        finish(Result::Answered);
+    } else if (error || ended || in.space() == 0) {
+        finish(Result::Broken);
+    } else {
+        read();
+    }
+}
+
+void Exchange::finish(Result result) {
+    const auto done = std::exchange(done_, nullptr);
+    boost::system::error_code ignored;
+    if (!reusable_) connection_->socket.close(ignored);
+    done(result, result == Result::Answered ? parser_.release() : Response{});
+}
+
+void Exchange::abandon() {
+    if (!done_) return;
+    done_ = nullptr;
+    boost::system::error_code ignored;
+    connection_->socket.close(ignored);
+}
+
+std::shared_ptr<Connection> Exchange::reusable() {
+    return reusable_ ? std::exchange(connection_, nullptr) : nullptr;
+}
+
+}  // namespace scalepoint::net
--- /dev/null
+++ b/src/net/exchange.h
@@ -0,0 +1,40 @@
+// One HTTP request and its answer on a connection that is already up.
+#pragma once
+
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "net/node_pool.h"
+
+namespace scalepoint::net {
+
+class Exchange : public std::enable_shared_from_this<Exchange> {
+public:
+    using Response = boost::beast::http::response<boost::beast::http::string_body>;
+    enum class Result { Answered, NotWritten, Broken };      // Broken: after the last byte was written
+    using Done = std::function<void(Result, Response)>;
+
+    Exchange(std::shared_ptr<Connection> connection, std::string request, std::size_t bodyLimit, Done done);
+    void start();
+    void abandon();                                          // closes the connection, calls nothing
+    std::shared_ptr<Connection> reusable();                  // after Answered: the connection, if it may go on
+
+private:
+    void write();
+    void read();
+    void parse(bool ended);
+    void finish(Result result);
+
+    std::shared_ptr<Connection> connection_;
+    std::string request_;
+    std::size_t put_ = 0;                                    // bytes of the request handed to the ring
+    Done done_;
+    boost::beast::http::response_parser<boost::beast::http::string_body> parser_;
+    bool reusable_ = false;
+};
+
+}  // namespace scalepoint::net
--- /dev/null
+++ b/src/net/listener.cpp
@@ -0,0 +1,71 @@
+#include "net/listener.h"
+
+#include "net/node_pool.h"
+
+namespace scalepoint::net {
+namespace {
+
+using boost::asio::ip::tcp;
+constexpr std::chrono::milliseconds kPause{10};              // before looking for a free descriptor again
+
+}  // namespace
+
+Listener::Listener(boost::asio::io_context& io, const config::Endpoint& at, Hooks hooks)
+    : acceptor_(io), pause_(io), hooks_(std::move(hooks)) {
+    acceptor_.open(tcp::v4());
+    acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    acceptor_.bind(tcpEndpoint(at));
+    acceptor_.listen(boost::asio::socket_base::max_listen_connections);
+    acceptor_.non_blocking(true);
+    accept();
+}
+
+config::Endpoint Listener::at() const {
+    const auto bound = acceptor_.local_endpoint();
+    return {bound.address().to_string(), bound.port()};
+}
+
+void Listener::accept() {
+    // Waiting clients stay in the system's queue: better than taking one and dropping it.
+    if (hooks_.full() && !hooks_.makeRoom()) return later();
+    acceptor_.async_accept([this](const boost::system::error_code& error, tcp::socket socket) {
+        if (!acceptor_.is_open()) return;
+        if (error) {
+            hooks_.makeRoom();                               // out of descriptors, or a client that left again
+            return later();
+        }
+        took(std::move(socket));
+        accept();
+    });
+}
+
+void Listener::later() {
+    ++postponed_;
+    pause_.expires_after(kPause);
+    pause_.async_wait([this](const boost::system::error_code& error) {
+        if (!error && acceptor_.is_open()) accept();
+    });
+}
+
+void Listener::took(tcp::socket socket) {
+    boost::system::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    socket.non_blocking(true, ignored);
+    hooks_.accepted(std::move(socket));
+}
+
+void Listener::close() {
+    boost::system::error_code error;
+    if (!acceptor_.is_open()) return;
+    acceptor_.cancel(error);
+    for (;;) {
+        tcp::socket socket(acceptor_.get_executor());
+        acceptor_.accept(socket, error);
+        if (error) break;
+        took(std::move(socket));
+    }
+    acceptor_.close(error);
+    pause_.cancel();
+}
+
+}  // namespace scalepoint::net
--- /dev/null
+++ b/src/net/ring_buffer.h
@@ -0,0 +1,52 @@
+// A bounded ring of bytes: one for each connection and direction.
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <cstring>
+#include <memory>
+#include <string_view>
+
+namespace scalepoint::net {
+
+class RingBuffer {
+public:
+    explicit RingBuffer(std::size_t capacity) : bytes_(new char[capacity]), capacity_(capacity) {}
+    std::size_t capacity() const { return capacity_; }
+    std::size_t size() const { return size_; }
+    std::size_t space() const { return capacity_ - size_; }
+    void clear() { head_ = size_ = 0; }
+
+    // What is held, oldest first; the second part is empty unless the bytes wrap.
+    std::array<boost::asio::const_buffer, 2> data() const {
+        const auto first = std::min(size_, capacity_ - head_);
+        return {boost::asio::const_buffer(bytes_.get() + head_, first),
+                boost::asio::const_buffer(bytes_.get(), size_ - first)};
+    }
+    // Where to read into; commit() what was read.
+    std::array<boost::asio::mutable_buffer, 2> room() {
+        const auto tail = (head_ + size_) % capacity_;
+        const auto first = size_ == capacity_ ? 0 : std::min(space(), capacity_ - tail);
+        return {boost::asio::mutable_buffer(bytes_.get() + tail, first),
+                boost::asio::mutable_buffer(bytes_.get(), space() - first)};
+    }
+    void commit(std::size_t n) { size_ += std::min(n, space()); }
+    void consume(std::size_t n) {
+        n = std::min(n, size_);
+        size_ -= n;
+        head_ = size_ == 0 ? 0 : (head_ + n) % capacity_;
+    }
+    // Takes as much of the text as fits; returns how much that was.
+    std::size_t put(std::string_view text) {
+        const auto taken = boost::asio::buffer_copy(room(), boost::asio::buffer(text.data(), text.size()));
+        commit(taken);
+        return taken;
+    }
+
+private:
+    std::unique_ptr<char[]> bytes_;
+    std::size_t capacity_, head_ = 0, size_ = 0;
+};
+
+}  // namespace scalepoint::net
