--- a/adapter/instances.cpp
+++ b/adapter/instances.cpp
@@ -1,6 +1,6 @@
 #include "instances.h"
 
-namespace scalepoint::wire {
+namespace wingproxy::wire {
 
 bool Instances::nextLine(std::istream& in) {
     if (!std::getline(in, line_)) return false;
@@ -125,4 +125,4 @@
     return true;
 }
 
-}  // namespace scalepoint::wire
+}  // namespace wingproxy::wire
--- a/adapter/instances.h
+++ b/adapter/instances.h
@@ -11,7 +11,7 @@
 
 #include "wire.h"
 
-namespace scalepoint::wire {
+namespace wingproxy::wire {
 
 class Instances {
 public:
@@ -37,4 +37,4 @@
     std::size_t lineNumber_ = 0, batch_ = 0;
 };
 
-}  // namespace scalepoint::wire
+}  // namespace wingproxy::wire
--- a/adapter/main.cpp
+++ b/adapter/main.cpp
@@ -7,7 +7,7 @@
 int main() {
     std::ios::sync_with_stdio(false);
     std::cin.tie(nullptr);
-    scalepoint::wire::Instances instances;
+    wingproxy::wire::Instances instances;
     std::string reply;
     try {
         while (reply.clear(), instances.serveBatch(std::cin, reply)) {
@@ -16,7 +16,7 @@
             if (!std::cout) return 1;
         }
     } catch (const std::exception& error) {
-        std::cerr << "scalepoint_adapter: " << error.what() << '\n';
+        std::cerr << "wingproxy_wirehost: " << error.what() << '\n';
         return 2;
     }
     return 0;
--- a/adapter/wire.cpp
+++ b/adapter/wire.cpp
@@ -4,7 +4,7 @@
 #include <charconv>
 #include <map>
 
-namespace scalepoint::wire {
+namespace wingproxy::wire {
 namespace {
 
 template <typename T>
@@ -370,4 +370,4 @@
     out += '\n';
 }
 
-}  // namespace scalepoint::wire
+}  // namespace wingproxy::wire
--- a/adapter/wire.h
+++ b/adapter/wire.h
@@ -8,9 +8,9 @@
 #include <utility>
 #include <vector>
 
-#include "scalepoint/policy.h"
+#include "wingproxy/policy.h"
 
-namespace scalepoint::wire {
+namespace wingproxy::wire {
 
 // A malformed line; the message names the line and the field.
 struct Malformed : std::runtime_error {
@@ -52,4 +52,4 @@
 
 void format(const Action& action, std::string_view who, std::string& out);      // appends one line
 
-}  // namespace scalepoint::wire
+}  // namespace wingproxy::wire
--- a/include/scalepoint/policy.h
+++ b/include/wingproxy/policy.h
@@ -1,4 +1,4 @@
-// scalepoint: the whole interface of the decision module (see src/policy.cpp).
+// wingproxy: the whole interface of the decision module (see src/policy.cpp).
 //
 // A Policy is one host's scheduler. Feed it the events of a batch with on(), then take the
 // actions of that batch with finish(). Time is whatever the caller says it is (microseconds,
@@ -11,7 +11,7 @@
 #include <variant>
 #include <vector>
 
-namespace scalepoint {
+namespace wingproxy {
 
 using Micros = std::int64_t;
 using RequestId = std::uint64_t;
@@ -127,4 +127,4 @@
     std::unique_ptr<Impl> impl_;
 };
 
-}  // namespace scalepoint
+}  // namespace wingproxy
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -9,7 +9,7 @@
 #include <fstream>
 #include <sstream>
 
-namespace scalepoint::config {
+namespace wingproxy::config {
 namespace {
 
 using simdjson::dom::array;
@@ -291,4 +291,4 @@
     return text.str();
 }
 
-}  // namespace scalepoint::config
+}  // namespace wingproxy::config
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -7,9 +7,9 @@
 #include <string_view>
 #include <vector>
 
-#include "scalepoint/policy.h"
+#include "wingproxy/policy.h"
 
-namespace scalepoint::config {
+namespace wingproxy::config {
 
 // What is wrong, in one line that names the field.
 struct Bad : std::runtime_error {
@@ -43,4 +43,4 @@
 Config parseConfig(std::string_view json);
 std::string readFile(const std::string& path);
 
-}  // namespace scalepoint::config
+}  // namespace wingproxy::config
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-namespace scalepoint::core {
+namespace wingproxy::core {
 namespace {
 
 // Part of the drain grace within which a decided attempt must write its first byte: the rest is for news that
@@ -210,4 +210,4 @@
     return std::exchange(state.effects_, {});
 }
 
-}  // namespace scalepoint::core
+}  // namespace wingproxy::core
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -12,9 +12,9 @@
 #include <variant>
 #include <vector>
 
-#include "scalepoint/policy.h"
+#include "wingproxy/policy.h"
 
-namespace scalepoint::core {
+namespace wingproxy::core {
 
 // ---- inputs
 struct Arrived { Request request; };                         // a front took a request
@@ -131,4 +131,4 @@
 // Moves the state by one input at a time that never falls, and returns what is to be done outside.
 Effects reduce(State& state, Micros now, Input input);
 
-}  // namespace scalepoint::core
+}  // namespace wingproxy::core
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -6,7 +6,7 @@
 #include <map>
 #include <optional>
 
-namespace scalepoint::http {
+namespace wingproxy::http {
 namespace {
 
 namespace beast = boost::beast;
@@ -258,4 +258,4 @@
     while (!sessions_.empty()) std::shared_ptr<Session>(sessions_.front())->close();
 }
 
-}  // namespace scalepoint::http
+}  // namespace wingproxy::http
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -7,7 +7,7 @@
 #include "http/node_client.h"
 #include "net/listener.h"
 
-namespace scalepoint::http {
+namespace wingproxy::http {
 
 class Session;
 
@@ -38,4 +38,4 @@
     net::Listener listener_;
 };
 
-}  // namespace scalepoint::http
+}  // namespace wingproxy::http
--- a/src/http/node_client.cpp
+++ b/src/http/node_client.cpp
@@ -2,7 +2,7 @@
 
 #include <fmt/format.h>
 
-namespace scalepoint::http {
+namespace wingproxy::http {
 namespace {
 
 constexpr std::size_t kMostAnswer = 256 * 1024;              // four times what the platform lets a body be
@@ -114,4 +114,4 @@
     std::make_shared<Probe>(engine, pool, node)->start(at);
 }
 
-}  // namespace scalepoint::http
+}  // namespace wingproxy::http
--- a/src/http/node_client.h
+++ b/src/http/node_client.h
@@ -8,7 +8,7 @@
 #include "net/engine.h"
 #include "net/exchange.h"
 
-namespace scalepoint::http {
+namespace wingproxy::http {
 
 class NodeAttempt : public net::Attempt, public std::enable_shared_from_this<NodeAttempt> {
 public:
@@ -36,4 +36,4 @@
 // GET /metrics/load, where the settings allow probes.
 void probe(net::Engine& engine, net::NodePool& pool, const std::string& node, const config::Endpoint& at);
 
-}  // namespace scalepoint::http
+}  // namespace wingproxy::http
--- a/src/http/platform.cpp
+++ b/src/http/platform.cpp
@@ -9,7 +9,7 @@
 #include <cmath>
 #include <iterator>
 
-namespace scalepoint::http {
+namespace wingproxy::http {
 namespace {
 
 namespace beast = boost::beast;
@@ -166,4 +166,4 @@
 
 std::string retryAfter(Micros us) { return fmt::format("{:.3f}", double(us) / 1e6); }
 
-}  // namespace scalepoint::http
+}  // namespace wingproxy::http
--- a/src/http/platform.h
+++ b/src/http/platform.h
@@ -8,7 +8,7 @@
 
 #include "core/reducer.h"
 
-namespace scalepoint::http {
+namespace wingproxy::http {
 
 using Message = boost::beast::http::request<boost::beast::http::string_body>;
 using Answer = boost::beast::http::response<boost::beast::http::string_body>;
@@ -26,4 +26,4 @@
 std::string forClient(int status, std::string_view fields, std::string_view body, bool keepAlive);
 std::string retryAfter(Micros us);                           // decimal seconds
 
-}  // namespace scalepoint::http
+}  // namespace wingproxy::http
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -2,7 +2,7 @@
 
 #include <string>
 
-namespace scalepoint::log {
+namespace wingproxy::log {
 
 void Logger::write(Level level, std::string_view text) {
     static constexpr std::string_view kNames[] = {"debug", "info", "warn", "error"};
@@ -21,4 +21,4 @@
     return Level::Info;
 }
 
-}  // namespace scalepoint::log
+}  // namespace wingproxy::log
--- a/src/log/log.h
+++ b/src/log/log.h
@@ -6,7 +6,7 @@
 #include <cstdio>
 #include <string_view>
 
-namespace scalepoint::log {
+namespace wingproxy::log {
 
 enum class Level { Debug, Info, Warn, Error };
 
@@ -34,4 +34,4 @@
 
 Level levelFrom(std::string_view name);  // "debug", "info", "warn", "error"; anything else is info
 
-}  // namespace scalepoint::log
+}  // namespace wingproxy::log
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-using namespace scalepoint;
+using namespace wingproxy;
 namespace asio = boost::asio;
 
 constexpr std::chrono::milliseconds kKeepAccepting{600};     // new clients still come this long after SIGTERM
--- a/src/net/clock.h
+++ b/src/net/clock.h
@@ -3,9 +3,9 @@
 
 #include <chrono>
 
-#include "scalepoint/policy.h"
+#include "wingproxy/policy.h"
 
-namespace scalepoint::net {
+namespace wingproxy::net {
 
 class Clock {
 public:
@@ -27,4 +27,4 @@
     std::chrono::steady_clock::time_point from_;
 };
 
-}  // namespace scalepoint::net
+}  // namespace wingproxy::net
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -2,7 +2,7 @@
 
 #include <fmt/format.h>
 
-namespace scalepoint::net {
+namespace wingproxy::net {
 namespace {
 
 constexpr std::chrono::milliseconds kWait{10'000};           // how long a watch may stay quiet
@@ -86,4 +86,4 @@
     engine_.lost();
 }
 
-}  // namespace scalepoint::net
+}  // namespace wingproxy::net
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -6,7 +6,7 @@
 #include "net/engine.h"
 #include "net/exchange.h"
 
-namespace scalepoint::net {
+namespace wingproxy::net {
 
 class Discovery {
 public:
@@ -32,4 +32,4 @@
     Counters counters_;
 };
 
-}  // namespace scalepoint::net
+}  // namespace wingproxy::net
--- a/src/net/engine.cpp
+++ b/src/net/engine.cpp
@@ -2,7 +2,7 @@
 
 #include <boost/asio/post.hpp>
 
-namespace scalepoint::net {
+namespace wingproxy::net {
 
 Engine::Engine(boost::asio::io_context& io, const config::Config& config, log::Logger& logger)
     : io_(io),
@@ -141,4 +141,4 @@
 }
 void Engine::run(const core::Say& e) { logger_.info("module: {}", e.text); }
 
-}  // namespace scalepoint::net
+}  // namespace wingproxy::net
--- a/src/net/engine.h
+++ b/src/net/engine.h
@@ -14,7 +14,7 @@
 #include "log/log.h"
 #include "net/clock.h"
 
-namespace scalepoint::net {
+namespace wingproxy::net {
 
 // What an attempt needs to know of its place and time.
 struct AttemptOrder {
@@ -110,4 +110,4 @@
     RequestId lastId_ = 0;
 };
 
-}  // namespace scalepoint::net
+}  // namespace wingproxy::net
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -1,6 +1,6 @@
 #include "net/exchange.h"
 
-namespace scalepoint::net {
+namespace wingproxy::net {
 namespace http = boost::beast::http;
 
 Exchange::Exchange(std::shared_ptr<Connection> connection, std::string request, std::size_t bodyLimit, Done done)
@@ -79,4 +79,4 @@
     return reusable_ ? std::exchange(connection_, nullptr) : nullptr;
 }
 
-}  // namespace scalepoint::net
+}  // namespace wingproxy::net
--- a/src/net/exchange.h
+++ b/src/net/exchange.h
@@ -10,7 +10,7 @@
 
 #include "net/node_pool.h"
 
-namespace scalepoint::net {
+namespace wingproxy::net {
 
 class Exchange : public std::enable_shared_from_this<Exchange> {
 public:
@@ -37,4 +37,4 @@
     bool reusable_ = false;
 };
 
-}  // namespace scalepoint::net
+}  // namespace wingproxy::net
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -2,7 +2,7 @@
 
 #include "net/node_pool.h"
 
-namespace scalepoint::net {
+namespace wingproxy::net {
 namespace {
 
 using boost::asio::ip::tcp;
@@ -68,4 +68,4 @@
     pause_.cancel();
 }
 
-}  // namespace scalepoint::net
+}  // namespace wingproxy::net
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -7,7 +7,7 @@
 
 #include "config/config.h"
 
-namespace scalepoint::net {
+namespace wingproxy::net {
 
 class Listener {
 public:
@@ -31,4 +31,4 @@
     std::uint64_t postponed_ = 0;
 };
 
-}  // namespace scalepoint::net
+}  // namespace wingproxy::net
--- a/src/net/node_pool.cpp
+++ b/src/net/node_pool.cpp
@@ -2,7 +2,7 @@
 
 #include <boost/asio/post.hpp>
 
-namespace scalepoint::net {
+namespace wingproxy::net {
 namespace {
 
 namespace asio = boost::asio;
@@ -162,4 +162,4 @@
     });
 }
 
-}  // namespace scalepoint::net
+}  // namespace wingproxy::net
--- a/src/net/node_pool.h
+++ b/src/net/node_pool.h
@@ -11,7 +11,7 @@
 #include "config/config.h"
 #include "net/ring_buffer.h"
 
-namespace scalepoint::net {
+namespace wingproxy::net {
 
 boost::asio::ip::tcp::endpoint tcpEndpoint(const config::Endpoint& e);
 
@@ -59,4 +59,4 @@
     bool cleared_ = false;
 };
 
-}  // namespace scalepoint::net
+}  // namespace wingproxy::net
--- a/src/net/peers.cpp
+++ b/src/net/peers.cpp
@@ -1,6 +1,6 @@
 #include "net/peers.h"
 
-namespace scalepoint::net {
+namespace wingproxy::net {
 namespace {
 
 using boost::asio::ip::udp;
@@ -64,4 +64,4 @@
     socket_.close(ignored);
 }
 
-}  // namespace scalepoint::net
+}  // namespace wingproxy::net
--- a/src/net/peers.h
+++ b/src/net/peers.h
@@ -8,7 +8,7 @@
 
 #include "net/engine.h"
 
-namespace scalepoint::net {
+namespace wingproxy::net {
 
 class Peers {
 public:
@@ -31,4 +31,4 @@
     int self_ = 0;
 };
 
-}  // namespace scalepoint::net
+}  // namespace wingproxy::net
--- a/src/net/ring_buffer.h
+++ b/src/net/ring_buffer.h
@@ -8,7 +8,7 @@
 #include <memory>
 #include <string_view>
 
-namespace scalepoint::net {
+namespace wingproxy::net {
 
 class RingBuffer {
 public:
@@ -49,4 +49,4 @@
     std::size_t capacity_, head_ = 0, size_ = 0;
 };
 
-}  // namespace scalepoint::net
+}  // namespace wingproxy::net
--- a/src/peer_message.h
+++ b/src/peer_message.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-namespace scalepoint::peer {
+namespace wingproxy::peer {
 
 // 64-bit FNV-1a: names a volume alike on every host and build.
 inline std::uint64_t hashOf(const std::string& text) {
@@ -67,4 +67,4 @@
     return ok;
 }
 
-}  // namespace scalepoint::peer
+}  // namespace wingproxy::peer
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -1,6 +1,6 @@
-// The decisions of scalepoint, all of them. The interface is include/scalepoint/policy.h.
+// The decisions of wingproxy, all of them. The interface is include/wingproxy/policy.h.
 // docs/design.md says what of the design was kept, what was changed and why.
-#include "scalepoint/policy.h"
+#include "wingproxy/policy.h"
 
 #include "peer_message.h"
 #include "state.h"
@@ -13,7 +13,7 @@
 #include <unordered_map>
 #include <utility>
 
-namespace scalepoint {
+namespace wingproxy {
 namespace {
 
 // ---------------------------------------------------------------- constants
@@ -965,4 +965,4 @@
     return std::exchange(p.actions, {});
 }
 
-}  // namespace scalepoint
+}  // namespace wingproxy
--- a/src/state.h
+++ b/src/state.h
@@ -6,9 +6,9 @@
 #include <map>
 #include <set>
 
-#include "scalepoint/policy.h"
+#include "wingproxy/policy.h"
 
-namespace scalepoint {
+namespace wingproxy {
 
 constexpr Micros kNever = -1'000'000'000'000'000'000;
 
@@ -105,4 +105,4 @@
     RequestId restBy = 0;
 };
 
-}  // namespace scalepoint
+}  // namespace wingproxy
--- a/tests/lease_test.cpp
+++ b/tests/lease_test.cpp
@@ -8,8 +8,8 @@
 
 #include "support.h"
 
-using namespace scalepoint;
-using namespace scalepoint::test;
+using namespace wingproxy;
+using namespace wingproxy::test;
 
 namespace {
 
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -4,8 +4,8 @@
 #include "../src/peer_message.h"
 #include "support.h"
 
-using namespace scalepoint;
-using namespace scalepoint::test;
+using namespace wingproxy;
+using namespace wingproxy::test;
 
 namespace {
 
--- a/tests/support.h
+++ b/tests/support.h
@@ -6,9 +6,9 @@
 #include <utility>
 #include <vector>
 
-#include "scalepoint/policy.h"
+#include "wingproxy/policy.h"
 
-namespace scalepoint::test {
+namespace wingproxy::test {
 
 constexpr Micros kMs = 1000, kSecond = 1'000'000, kStart = 10'000'000;
 
@@ -102,4 +102,4 @@
     return out;
 }
 
-}  // namespace scalepoint::test
+}  // namespace wingproxy::test
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -6,8 +6,8 @@
 
 #include "instances.h"
 
-using namespace scalepoint;
-using namespace scalepoint::wire;
+using namespace wingproxy;
+using namespace wingproxy::wire;
 
 namespace {
 
