--- a/src/config/config.h
+++ b/src/config/config.h
@@ -26,7 +26,7 @@
 // One list as discovery gives it: for the module, and where each node listens.
 struct HostList {
     NodeList list;
-    std::vector<Endpoint> addresses;    // beside list.nodes
+    std::vector<Endpoint> addresses;  // beside list.nodes
 };
 HostList parseHostList(std::string_view json);
 
@@ -34,9 +34,9 @@
     std::string name;
     Endpoint listen, discovery;
     Settings settings;
-    HostList known;                     // kind Saved
-    std::vector<Endpoint> peers;        // by host number, this one included
-    Endpoint peerListen, peersAll;      // port 0: none
+    HostList known;                 // kind Saved
+    std::vector<Endpoint> peers;    // by host number, this one included
+    Endpoint peerListen, peersAll;  // port 0: none
     int sockets = 1024;
     Micros connectTimeoutUs = 250'000, connIdleUs = 30'000'000;
 };
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -38,7 +38,7 @@
 void State::take(Ended in) {
     const auto it = requests_.find(in.id);
     if (it == requests_.end() || !it->second.out.contains(in.attempt)) {
-        ++counters_.late;                                    // stopped or timed out before: already told
+        ++counters_.late;  // stopped or timed out before: already told
         return;
     }
     const int attempt = in.attempt;
@@ -108,13 +108,21 @@
         for (auto& ended : std::exchange(moot_, {})) {
             const auto it = requests_.find(ended.id);
             ++counters_.outcomes[static_cast<std::size_t>(Outcome::Moot)];
-            tell(AttemptEnded{ended.id, ended.attempt, {}, Outcome::Moot, 0, it == requests_.end() || it->second.done,
-                              0, 0, {}});
+            tell(AttemptEnded{ended.id,
+                              ended.attempt,
+                              {},
+                              Outcome::Moot,
+                              0,
+                              it == requests_.end() || it->second.done,
+                              0,
+                              0,
+                              {}});
         }
     }
 }
 
-// An attempt's end: the first success is the answer, a broken stream is the end too; all else is the module's.
+// An attempt's end: the first success is the answer, a broken stream is the end too; all else is the
+// module's.
 void State::endAttempt(Requests::iterator it, int attempt, Ended how) {
     Live& live = it->second;
     const Attempt was = std::move(live.out.at(attempt));
@@ -191,7 +199,7 @@
 void State::act(const Cancel& a) {
     const auto it = requests_.find(a.id);
     if (it == requests_.end() || !it->second.out.contains(a.attempt)) return;
-    if (it->second.streaming) return;                        // it belongs to the client now
+    if (it->second.streaming) return;  // it belongs to the client now
     effects_.push_back(StopAttempt{a.id, a.attempt});
     endAttempt(it, a.attempt, {a.id, a.attempt, Outcome::Cancelled, 0, 0, {}});
 }
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -17,21 +17,38 @@
 namespace wingproxy::core {
 
 // ---- inputs
-struct Arrived { Request request; };                         // a front took a request
-struct Ended {                                               // an attempt came to its end outside
+struct Arrived {
+    Request request;
+};              // a front took a request
+struct Ended {  // an attempt came to its end outside
     RequestId id = 0;
     int attempt = 0;
     Outcome outcome = Outcome::Ok;
     double usePercent = 0, elsewhere = 0;
     std::vector<double> report;
 };
-struct Streaming { RequestId id = 0; int attempt = 0; };     // its answer began to reach the client
-struct ClientGone { RequestId id = 0; };
-struct News { NodeList list; };
-struct Heard { int from = 0; std::string bytes; };
-struct Probed { std::string node; Outcome outcome = Outcome::Ok; Micros tookUs = 0; std::vector<double> report; };
-struct Wake {};                                              // some time of State::nextWake has come
-struct CloseBatch {};                                        // all that was ready has been put in
+struct Streaming {
+    RequestId id = 0;
+    int attempt = 0;
+};  // its answer began to reach the client
+struct ClientGone {
+    RequestId id = 0;
+};
+struct News {
+    NodeList list;
+};
+struct Heard {
+    int from = 0;
+    std::string bytes;
+};
+struct Probed {
+    std::string node;
+    Outcome outcome = Outcome::Ok;
+    Micros tookUs = 0;
+    std::vector<double> report;
+};
+struct Wake {};        // some time of State::nextWake has come
+struct CloseBatch {};  // all that was ready has been put in
 using Input = std::variant<Arrived, Ended, Streaming, ClientGone, News, Heard, Probed, Wake, CloseBatch>;
 
 // ---- effects
@@ -39,41 +56,65 @@
     RequestId id = 0;
     int attempt = 0;
     std::string node;
-    Micros firstByteBy = 0;                                  // past this time not a byte may be written
-    Micros giveUpAt = 0;                                     // the time-out, which the reducer keeps
+    Micros firstByteBy = 0;  // past this time not a byte may be written
+    Micros giveUpAt = 0;     // the time-out, which the reducer keeps
 };
-struct StopAttempt { RequestId id = 0; int attempt = 0; };   // close its connection; it reports nothing more
-struct Deliver { RequestId id = 0; int attempt = 0; };       // the final answer is this attempt's
-struct RefuseClient { RequestId id = 0; Micros retryAfterUs = 0; };
-struct FailClient { RequestId id = 0; };
-struct Tell { int to = 0; std::string bytes; };              // to -1: every peer
-struct Watch { bool on = true; };
-struct ProbeStart { std::string node; };
-struct Say { std::string text; };
-using Effect = std::variant<StartAttempt, StopAttempt, Deliver, RefuseClient, FailClient, Tell, Watch, ProbeStart, Say>;
+struct StopAttempt {
+    RequestId id = 0;
+    int attempt = 0;
+};  // close its connection; it reports nothing more
+struct Deliver {
+    RequestId id = 0;
+    int attempt = 0;
+};  // the final answer is this attempt's
+struct RefuseClient {
+    RequestId id = 0;
+    Micros retryAfterUs = 0;
+};
+struct FailClient {
+    RequestId id = 0;
+};
+struct Tell {
+    int to = 0;
+    std::string bytes;
+};  // to -1: every peer
+struct Watch {
+    bool on = true;
+};
+struct ProbeStart {
+    std::string node;
+};
+struct Say {
+    std::string text;
+};
+using Effect =
+    std::variant<StartAttempt, StopAttempt, Deliver, RefuseClient, FailClient, Tell, Watch, ProbeStart, Say>;
 using Effects = std::vector<Effect>;
 
 struct Limits {
-    Micros connectUs = 250'000;                              // a connection that is not up by then has failed
+    Micros connectUs = 250'000;  // a connection that is not up by then has failed
 };
 
 struct Counters {
     std::uint64_t taken = 0, delivered = 0, refused = 0, failed = 0, gone = 0, overdue = 0, batches = 0;
     std::uint64_t attempts = 0, late = 0;
-    std::array<std::uint64_t, 8> outcomes{};                 // by Outcome
+    std::array<std::uint64_t, 8> outcomes{};  // by Outcome
 };
 
 class State {
 public:
     State(const Settings& settings, const Limits& limits, Micros now);
-    Micros nextWake() const;                                 // no earlier wake-up is needed; kNoWake: none
+    Micros nextWake() const;  // no earlier wake-up is needed; kNoWake: none
     const Counters& counters() const { return counters_; }
-    std::size_t open() const { return open_; }               // requests without their final answer
+    std::size_t open() const { return open_; }  // requests without their final answer
     static constexpr Micros kNoWake = INT64_MAX;
 
 private:
     friend Effects reduce(State& state, Micros now, Input input);
-    struct Attempt { std::string node; Micros startedAt = 0, giveUpAt = 0; };
+    struct Attempt {
+        std::string node;
+        Micros startedAt = 0, giveUpAt = 0;
+    };
     struct Live {
         Micros deadlineUs = 0;
         int cell = -1, attempts = 0;
@@ -84,7 +125,7 @@
     struct Alarm {
         Micros at = 0;
         Due due = Due::Timer;
-        std::uint64_t what = 0;                              // a token, or a request
+        std::uint64_t what = 0;  // a token, or a request
         int attempt = 0;
         auto operator<=>(const Alarm&) const = default;
     };
@@ -119,13 +160,13 @@
     Micros now_;
     Policy policy_;
     Requests requests_;
-    std::map<std::string, int, std::less<>> nodeCells_;      // of every node a list has named
+    std::map<std::string, int, std::less<>> nodeCells_;  // of every node a list has named
     std::multiset<Alarm> alarms_;
-    std::vector<Ended> moot_;                                // told in the next batch, as the module expects
+    std::vector<Ended> moot_;  // told in the next batch, as the module expects
     Effects effects_;
     Counters counters_;
     std::size_t open_ = 0;
-    bool touched_ = true;                                    // the module's first actions are waiting
+    bool touched_ = true;  // the module's first actions are waiting
 };
 
 // Moves the state by one input at a time that never falls, and returns what is to be done outside.
--- a/src/http/node_client.cpp
+++ b/src/http/node_client.cpp
@@ -5,7 +5,7 @@
 namespace wingproxy::http {
 namespace {
 
-constexpr std::size_t kMostAnswer = 256 * 1024;              // four times what the platform lets a body be
+constexpr std::size_t kMostAnswer = 256 * 1024;  // four times what the platform lets a body be
 constexpr std::chrono::milliseconds kProbeTimeout{250};
 
 }  // namespace
@@ -15,9 +15,10 @@
     : engine_(engine), pool_(pool), order_(order), message_(std::move(message)), keep_(std::move(keep)) {}
 
 void NodeAttempt::start() {
-    ticket_ = pool_.acquire(order_.node, [self = shared_from_this()](std::shared_ptr<net::Connection> connection) {
-        if (!self->over_) self->connected(std::move(connection));
-    });
+    ticket_ =
+        pool_.acquire(order_.node, [self = shared_from_this()](std::shared_ptr<net::Connection> connection) {
+            if (!self->over_) self->connected(std::move(connection));
+        });
 }
 
 void NodeAttempt::connected(std::shared_ptr<net::Connection> connection) {
@@ -74,18 +75,21 @@
         timer_.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
             if (!error) self->end(Outcome::Timeout, {});
         });
-        ticket_ = pool_.acquire(at, [self = shared_from_this(), at](std::shared_ptr<net::Connection> connection) {
-            if (!connection) return self->end(Outcome::ConnectFailed, {});
-            self->exchange_ = std::make_shared<net::Exchange>(
-                std::move(connection), fmt::format("GET /metrics/load HTTP/1.1\r\nHost: {}:{}\r\n\r\n", at.host, at.port),
-                kMostAnswer, [self](net::Exchange::Result result, const Answer& answer) {
-                    if (result != net::Exchange::Result::Answered) return self->end(Outcome::Reset, {});
-                    if (auto whole = self->exchange_->reusable()) self->pool_.release(std::move(whole));
-                    const auto ok = answer.result_int() == 200;
-                    self->end(ok ? Outcome::Ok : Outcome::Error, readLoad(answer.body(), self->engine_.settings()));
-                });
-            self->exchange_->start();
-        });
+        ticket_ =
+            pool_.acquire(at, [self = shared_from_this(), at](std::shared_ptr<net::Connection> connection) {
+                if (!connection) return self->end(Outcome::ConnectFailed, {});
+                self->exchange_ = std::make_shared<net::Exchange>(
+                    std::move(connection),
+                    fmt::format("GET /metrics/load HTTP/1.1\r\nHost: {}:{}\r\n\r\n", at.host, at.port),
+                    kMostAnswer, [self](net::Exchange::Result result, const Answer& answer) {
+                        if (result != net::Exchange::Result::Answered) return self->end(Outcome::Reset, {});
+                        if (auto whole = self->exchange_->reusable()) self->pool_.release(std::move(whole));
+                        const auto ok = answer.result_int() == 200;
+                        self->end(ok ? Outcome::Ok : Outcome::Error,
+                                  readLoad(answer.body(), self->engine_.settings()));
+                    });
+                self->exchange_->start();
+            });
     }
 
 private:
--- a/src/http/platform.cpp
+++ b/src/http/platform.cpp
@@ -32,7 +32,8 @@
 }
 
 bool isHex16(std::string_view text) {
-    return text.size() == 16 && std::all_of(text.begin(), text.end(), [](unsigned char c) { return std::isxdigit(c); });
+    return text.size() == 16 &&
+           std::all_of(text.begin(), text.end(), [](unsigned char c) { return std::isxdigit(c); });
 }
 
 // The value of name in "name=value<separator>name=value"; false where it is not there.
@@ -51,15 +52,22 @@
 
 template <typename List>
 int indexOf(const List& list, std::string_view name) {
-    const auto it = std::find_if(list.begin(), list.end(), [&](const auto& item) { return item.name == name; });
+    const auto it =
+        std::find_if(list.begin(), list.end(), [&](const auto& item) { return item.name == name; });
     return it == list.end() ? -1 : int(it - list.begin());
 }
 
 // Fields that belong to one connection, not to the message.
 bool ofConnection(const beast::http::fields::value_type& f, const Message& message) {
     switch (f.name()) {
-        case field::connection: case field::keep_alive: case field::proxy_connection: case field::te:
-        case field::trailer: case field::transfer_encoding: case field::upgrade: case field::content_length:
+        case field::connection:
+        case field::keep_alive:
+        case field::proxy_connection:
+        case field::te:
+        case field::trailer:
+        case field::transfer_encoding:
+        case field::upgrade:
+        case field::content_length:
         case field::expect:
             return true;
         default:
@@ -101,7 +109,8 @@
     if (!member(info, ',', "hosts", value) || !parse(value, r.volumeHosts) || r.volumeHosts < 1 ||
         r.volumeHosts > 100'000)
         return bad("IO-Info hosts", "missing or not a number of hosts");
-    if (settings.classes[std::size_t(r.classIndex)].effect == Effect::Deduplicated && text("Idempotency-Key").empty())
+    if (settings.classes[std::size_t(r.classIndex)].effect == Effect::Deduplicated &&
+        text("Idempotency-Key").empty())
         return bad("Idempotency-Key", "missing, and the class carries a key");
     r.retry = text("Req-Retry") == "1";
     return asked;
@@ -109,9 +118,13 @@
 
 std::vector<double> readLoad(std::string_view load, const Settings& settings) {
     // The header keeps the simulator's own words; the settings may name a column by either.
-    static constexpr std::array<std::pair<std::string_view, std::string_view>, 6> kWords{{
-        {"concurrent", "inflight"}, {"depth", "queue"}, {"load_share", "util"},
-        {"mean_ms", "latency_ms"}, {"tps", "qps"}, {"err_ps", "eps"}}};
+    static constexpr std::array<std::pair<std::string_view, std::string_view>, 6> kWords{
+        {{"concurrent", "inflight"},
+         {"depth", "queue"},
+         {"load_share", "util"},
+         {"mean_ms", "latency_ms"},
+         {"tps", "qps"},
+         {"err_ps", "eps"}}};
     std::vector<double> report;
     if (trim(load).empty()) return report;
     for (const auto& column : settings.reportColumns) {
@@ -120,7 +133,7 @@
         for (const auto& [ours, theirs] : kWords)
             if (!found && ours == column) found = member(load, ',', theirs, value);
         double number = 0;
-        if (!found || !parse(value, number)) return {};      // a report with holes would shift its columns
+        if (!found || !parse(value, number)) return {};  // a report with holes would shift its columns
         report.push_back(number);
     }
     return report;
--- a/src/http/platform.h
+++ b/src/http/platform.h
@@ -13,8 +13,13 @@
 using Message = boost::beast::http::request<boost::beast::http::string_body>;
 using Answer = boost::beast::http::response<boost::beast::http::string_body>;
 
-struct BadField { std::string what; };                       // names the field
-struct Asked { Request request; Micros waitUs = 0; };        // waitUs: from the client's send
+struct BadField {
+    std::string what;
+};  // names the field
+struct Asked {
+    Request request;
+    Micros waitUs = 0;
+};  // waitUs: from the client's send
 std::variant<Asked, BadField> readRequest(const Message& message, const Settings& settings);
 
 // What a node's answer means for the attempt; the outcome of an answer that came whole.
@@ -24,6 +29,6 @@
 // The request as a node gets it: as it came, but for the connection's own fields and the time left.
 std::string forNode(const Message& message, const std::string& host, Micros waitUs);
 std::string forClient(int status, std::string_view fields, std::string_view body, bool keepAlive);
-std::string retryAfter(Micros us);                           // decimal seconds
+std::string retryAfter(Micros us);  // decimal seconds
 
 }  // namespace wingproxy::http
--- a/src/log/log.h
+++ b/src/log/log.h
@@ -14,13 +14,21 @@
 public:
     explicit Logger(Level least = Level::Info, std::FILE* to = stderr) : least_(least), to_(to) {}
     template <typename... Args>
-    void debug(fmt::format_string<Args...> f, Args&&... a) { line(Level::Debug, f, a...); }
+    void debug(fmt::format_string<Args...> f, Args&&... a) {
+        line(Level::Debug, f, a...);
+    }
     template <typename... Args>
-    void info(fmt::format_string<Args...> f, Args&&... a) { line(Level::Info, f, a...); }
+    void info(fmt::format_string<Args...> f, Args&&... a) {
+        line(Level::Info, f, a...);
+    }
     template <typename... Args>
-    void warn(fmt::format_string<Args...> f, Args&&... a) { line(Level::Warn, f, a...); }
+    void warn(fmt::format_string<Args...> f, Args&&... a) {
+        line(Level::Warn, f, a...);
+    }
     template <typename... Args>
-    void error(fmt::format_string<Args...> f, Args&&... a) { line(Level::Error, f, a...); }
+    void error(fmt::format_string<Args...> f, Args&&... a) {
+        line(Level::Error, f, a...);
+    }
 
 private:
     template <typename Format, typename... Args>
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -8,30 +8,49 @@
 #include <functional>
 
 #include "config/config.h"
+#include "config/operator.h"
+#include "health/health.h"
 #include "http/front.h"
 #include "net/discovery.h"
 #include "net/peers.h"
+#include "rsync/front.h"
 
 namespace {
 
 using namespace wingproxy;
 namespace asio = boost::asio;
 
-constexpr std::chrono::milliseconds kKeepAccepting{600};     // new clients still come this long after SIGTERM
+constexpr std::chrono::milliseconds kKeepAccepting{600};  // new clients still come this long after SIGTERM
+constexpr std::chrono::milliseconds kLastRequests{100};   // of clients that the system had taken by then
 constexpr std::chrono::milliseconds kLookEvery{20};
-constexpr int kOwnDescriptors = 32;                          // standard streams, listeners, discovery, the loop's own
+constexpr int kMostLooks = 50;       // at connections that owe and are owed no answer
+constexpr int kOwnDescriptors = 48;  // standard streams, listeners, checks, discovery
+
+// How the descriptors are dealt out: three parts of five to clients; the rsync front's are a quarter of all.
+struct Budget {
+    Budget(int sockets, bool withRsync) {
+        const auto all = std::size_t(std::max(10, sockets - kOwnDescriptors));
+        rsyncClients = withRsync ? all * 3 / 20 : 0;
+        rsyncNodes = withRsync ? all / 10 : 0;
+        clients = all * 3 / 5 - rsyncClients;
+        nodes = all * 2 / 5 - rsyncNodes;
+    }
+    std::size_t clients, nodes, rsyncClients, rsyncNodes;
+};
 
 class Program {
 public:
-    Program(const config::Config& config, log::Logger& logger)
+    Program(const config::Config& config, const config::Operator& extra, log::Logger& logger)
         : logger_(logger),
+          budget_(config.sockets, extra.rsync.has_value()),
           engine_(io_, config, logger),
-          pool_(io_, {std::size_t(config.sockets - kOwnDescriptors) * 2 / 5,
-                      std::chrono::microseconds(config.connectTimeoutUs),
+          pool_(io_, {budget_.nodes, std::chrono::microseconds(config.connectTimeoutUs),
                       std::chrono::microseconds(config.connIdleUs / 2)}),
+          rsyncPool_(io_, {budget_.rsyncNodes, std::chrono::microseconds(config.connectTimeoutUs),
+                           std::chrono::microseconds(0)}),
           discovery_(engine_, config.discovery),
           peers_(engine_, config),
-          front_(engine_, pool_, config.listen, std::size_t(config.sockets - kOwnDescriptors) * 3 / 5),
+          front_(engine_, pool_, config.listen, budget_.clients),
           signals_(io_, SIGTERM, SIGINT, SIGUSR1),
           closing_(io_) {
         engine_.connect({[this](int to, const std::string& bytes) { peers_.tell(to, bytes); },
@@ -40,8 +59,15 @@
                              http::probe(engine_, pool_, id, at);
                          }});
         engine_.start();
+        if (extra.rsync) {
+            rsync_ = std::make_unique<rsync::Front>(engine_, rsyncPool_, *extra.rsync, budget_.rsyncClients);
+            said("rsync", rsync_->door().at());
+        }
+        const auto ask = [this] { return health(); };
+        if (extra.health) said("health", (health_ = health::httpDoor(io_, *extra.health, ask))->at());
+        if (extra.agent) said("agent", (agent_ = health::agentDoor(io_, *extra.agent, ask))->at());
         awaitSignal();
-        logger_.info("started: {} listens on {}:{}", config.name, front_.at().host, front_.at().port);
+        said(config.name, front_.door().at());
     }
     void run() {
         io_.run();
@@ -50,6 +76,13 @@
     }
 
 private:
+    void said(std::string_view what, const config::Endpoint& at) {
+        logger_.info("started: {} listens on {}:{}", what, at.host, at.port);
+    }
+    health::Report health() {
+        return {engine_.nodes() > 0, leaving_,
+                double(front_.door().connections()) / double(front_.door().most())};
+    }
     void awaitSignal() {
         signals_.async_wait([this](const boost::system::error_code& error, int signal) {
             if (error) return;
@@ -64,20 +97,29 @@
         front_.drain();
         closing_.expires_after(kKeepAccepting);
         closing_.async_wait([this](const boost::system::error_code&) {
-            front_.closeListener();
-            lookWhetherDone();
+            front_.door().closeListener();
+            if (rsync_) rsync_->door().closeListener();
+            closing_.expires_after(kLastRequests);
+            closing_.async_wait([this](const boost::system::error_code&) { lookWhetherDone(); });
         });
     }
+    // All that was taken is answered first; a connection that only began to ask holds nothing up for long.
     void lookWhetherDone() {
-        if (engine_.open() > 0 || front_.connections() > 0) {
+        front_.door().closeIdle();
+        if (rsync_) rsync_->door().closeIdle();
+        const auto connections = front_.door().connections() + (rsync_ ? rsync_->door().connections() : 0);
+        if (engine_.open() > 0 || (connections > 0 && ++looks_ < kMostLooks)) {
             closing_.expires_after(kLookEvery);
             closing_.async_wait([this](const boost::system::error_code&) { lookWhetherDone(); });
             return;
         }
         engine_.stop();
+        front_.door().stop();
+        if (rsync_) rsync_->door().stop();
         discovery_.stop();
         peers_.stop();
         pool_.clear();
+        rsyncPool_.clear();
         signals_.cancel();
         io_.stop();
     }
@@ -86,35 +128,53 @@
         const auto& f = front_.counters();
         const auto& d = discovery_.counters();
         const auto& p = peers_.counters();
-        logger_.info("counters requests: taken={} delivered={} refused={} failed={} gone={} overdue={} open={}", c.taken,
-                     c.delivered, c.refused, c.failed, c.gone, c.overdue, engine_.open());
         logger_.info(
-            "counters attempts: sent={} ok={} error={} full={} timeout={} connect_failed={} reset={} cancelled={} "
+            "counters requests: taken={} delivered={} refused={} failed={} gone={} overdue={} open={}",
+            c.taken, c.delivered, c.refused, c.failed, c.gone, c.overdue, engine_.open());
+        logger_.info(
+            "counters attempts: sent={} ok={} error={} full={} timeout={} connect_failed={} reset={} "
+            "cancelled={} "
             "moot={} late={} batches={}",
-            c.attempts, c.outcomes[0], c.outcomes[1], c.outcomes[2], c.outcomes[3], c.outcomes[4], c.outcomes[5],
-            c.outcomes[6], c.outcomes[7], c.late, c.batches);
+            c.attempts, c.outcomes[0], c.outcomes[1], c.outcomes[2], c.outcomes[3], c.outcomes[4],
+            c.outcomes[5], c.outcomes[6], c.outcomes[7], c.late, c.batches);
+        const auto& door = front_.door();
         logger_.info(
-            "counters http: connections={} open={} requests={} ok={} refused={} failed={} malformed={} too_large={} "
+            "counters http: connections={} open={} requests={} ok={} refused={} failed={} malformed={} "
+            "too_large={} "
             "unsupported={} closed_idle={}",
-            f.connections, front_.connections(), f.requests, f.status2xx, f.statusRefused, f.status5xx, f.malformed,
-            f.tooLarge, f.unsupported, f.closedIdle);
-        logger_.info("counters nodes: connections={} opened={} reused={}", pool_.open(), pool_.opened(), pool_.reused());
-        logger_.info("counters discovery: calls={} answers={} failed={} malformed={}", d.calls, d.answers, d.failed,
-                     d.malformed);
-        logger_.info("counters peers: sent={} received={} unsent={} unknown={} oversize={}", p.sent, p.received, p.unsent,
-                     p.unknown, p.oversize);
+            door.accepted(), door.connections(), f.requests, f.ok, f.refused, f.failed, f.malformed,
+            f.tooLarge, f.unsupported, door.closedIdle());
+        if (rsync_) {
+            const auto& r = rsync_->counters();
+            logger_.info(
+                "counters rsync: connections={} open={} transfers={} completed={} refused={} failed={} "
+                "gone={} "
+                "malformed={} listings={}",
+                rsync_->door().accepted(), rsync_->door().connections(), r.transfers, r.completed, r.refused,
+                r.failed, r.gone, r.malformed, r.listings);
+        }
+        logger_.info("counters nodes: connections={} opened={} reused={}", pool_.open(), pool_.opened(),
+                     pool_.reused());
+        logger_.info("counters discovery: calls={} answers={} failed={} malformed={}", d.calls, d.answers,
+                     d.failed, d.malformed);
+        logger_.info("counters peers: sent={} received={} unsent={} unknown={} oversize={}", p.sent,
+                     p.received, p.unsent, p.unknown, p.oversize);
     }
 
     log::Logger& logger_;
+    Budget budget_;
     asio::io_context io_{1};
     net::Engine engine_;
-    net::NodePool pool_;
+    net::NodePool pool_, rsyncPool_;
     net::Discovery discovery_;
     net::Peers peers_;
     http::Front front_;
+    std::unique_ptr<rsync::Front> rsync_;  // these three only where the operator's file has them
+    std::unique_ptr<net::Door> health_, agent_;
     asio::signal_set signals_;
     asio::steady_timer closing_;
     bool leaving_ = false;
+    int looks_ = 0;
 };
 
 }  // namespace
@@ -127,7 +187,10 @@
         const char* path = std::getenv("PROXY_CONFIG");
         if (!path) throw config::Bad("PROXY_CONFIG: not set");
         const auto config = config::parseConfig(config::readFile(path));
-        Program(config, logger).run();
+        config::Operator extra;
+        if (const char* file = std::getenv("WINGPROXY_OPERATOR"))
+            extra = config::parseOperator(config::readFile(file), config.settings);
+        Program(config, extra, logger).run();
     } catch (const std::exception& error) {
         logger.error("{}", error.what());
         return 2;
--- a/src/net/clock.h
+++ b/src/net/clock.h
@@ -1,4 +1,5 @@
-// The one clock: Unix microseconds, as startedAtMs counts, that never fall when the system's time is set back.
+// The one clock: Unix microseconds, as startedAtMs counts, that never fall when the system's time is set
+// back.
 #pragma once
 
 #include <chrono>
@@ -16,7 +17,8 @@
           from_(std::chrono::steady_clock::now()) {}
     Micros now() const {
         return base_ +
-               std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now() - from_).count();
+               std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now() - from_)
+                   .count();
     }
     std::chrono::steady_clock::time_point at(Micros when) const {
         return from_ + std::chrono::microseconds(when - base_);
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -5,8 +5,8 @@
 namespace wingproxy::net {
 namespace {
 
-constexpr std::chrono::milliseconds kWait{10'000};           // how long a watch may stay quiet
-constexpr std::chrono::milliseconds kPatience{2'500};        // and how much later its answer counts as failed
+constexpr std::chrono::milliseconds kWait{10'000};     // how long a watch may stay quiet
+constexpr std::chrono::milliseconds kPatience{2'500};  // and how much later its answer counts as failed
 constexpr std::size_t kMostList = 4 * 1024 * 1024;
 
 }  // namespace
@@ -50,7 +50,8 @@
 
 void Discovery::send(std::shared_ptr<Connection> connection) {
     auto request = fmt::format(
-        "GET /discovery/hosts?after={}&wait_ms={} HTTP/1.1\r\nHost: {}:{}\r\nAccept: application/json\r\n\r\n",
+        "GET /discovery/hosts?after={}&wait_ms={} HTTP/1.1\r\nHost: {}:{}\r\nAccept: "
+        "application/json\r\n\r\n",
         engine_.listVersion(), kWait.count(), at_.host, at_.port);
     exchange_ = std::make_shared<Exchange>(
         std::move(connection), std::move(request), kMostList,
@@ -71,7 +72,7 @@
         return fail("a malformed list");
     }
     ++counters_.answers;
-    if (on_) call();                                         // at once: a watch goes on within 200 ms
+    if (on_) call();  // at once: a watch goes on within 200 ms
 }
 
 // The module hears of it and asks again when it wants to.
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -10,9 +10,11 @@
 
 class Discovery {
 public:
-    struct Counters { std::uint64_t calls = 0, answers = 0, failed = 0, malformed = 0; };
+    struct Counters {
+        std::uint64_t calls = 0, answers = 0, failed = 0, malformed = 0;
+    };
     Discovery(Engine& engine, const config::Endpoint& at);
-    void watch(bool on);                                     // as the module asks; a running watch goes on
+    void watch(bool on);  // as the module asks; a running watch goes on
     void stop();
     const Counters& counters() const { return counters_; }
 
--- a/src/net/engine.cpp
+++ b/src/net/engine.cpp
@@ -94,7 +94,7 @@
         put(core::Ended{e.id, e.attempt, Outcome::ConnectFailed, 0, 0, {}});
         return;
     }
-    it->second.out[e.attempt] = nullptr;                     // it may end before start() returns
+    it->second.out[e.attempt] = nullptr;  // it may end before start() returns
     auto attempt = it->second.transfer->start({e.id, e.attempt, address->second, e.firstByteBy, e.giveUpAt});
     const auto now = live_.find(e.id);
     if (now == live_.end()) return;
@@ -133,8 +133,12 @@
 void Engine::run(const core::FailClient& e) {
     if (const auto transfer = finish(e.id)) transfer->fail();
 }
-void Engine::run(const core::Tell& e) { if (outlets_.tell) outlets_.tell(e.to, e.bytes); }
-void Engine::run(const core::Watch& e) { if (outlets_.watch) outlets_.watch(e.on); }
+void Engine::run(const core::Tell& e) {
+    if (outlets_.tell) outlets_.tell(e.to, e.bytes);
+}
+void Engine::run(const core::Watch& e) {
+    if (outlets_.watch) outlets_.watch(e.on);
+}
 void Engine::run(const core::ProbeStart& e) {
     const auto address = addresses_.find(e.node);
     if (address != addresses_.end() && outlets_.probe) outlets_.probe(e.node, address->second);
--- a/src/net/engine.h
+++ b/src/net/engine.h
@@ -28,16 +28,16 @@
 class Attempt {
 public:
     virtual ~Attempt() = default;
-    virtual void abandon() = 0;                              // closes its connection, reports nothing more
+    virtual void abandon() = 0;  // closes its connection, reports nothing more
 };
 
-// The wire's side of one request: how to try it at a node, and how to answer. Each request gets exactly one of
-// deliver, refuse and fail, unless its client left before.
+// The wire's side of one request: how to try it at a node, and how to answer. Each request gets exactly one
+// of deliver, refuse and fail, unless its client left before.
 class Transfer {
 public:
     virtual ~Transfer() = default;
     virtual std::shared_ptr<Attempt> start(const AttemptOrder& order) = 0;
-    virtual void deliver(int attempt) = 0;                   // that attempt's answer, which ended as Ok
+    virtual void deliver(int attempt) = 0;  // that attempt's answer, which ended as Ok
     virtual void refuse(Micros retryAfterUs) = 0;
     virtual void fail() = 0;
 };
@@ -51,10 +51,10 @@
     };
     Engine(boost::asio::io_context& io, const config::Config& config, log::Logger& logger);
     void connect(Outlets outlets) { outlets_ = std::move(outlets); }
-    void start();                                            // the saved list, then the module's first actions
-    void stop();                                             // no more timers; what is open is dropped
+    void start();  // the saved list, then the module's first actions
+    void stop();   // no more timers; what is open is dropped
 
-    RequestId submit(Request request, std::shared_ptr<Transfer> transfer);   // the id is given here
+    RequestId submit(Request request, std::shared_ptr<Transfer> transfer);  // the id is given here
     void gone(RequestId id);
     void streaming(RequestId id, int attempt) { put(core::Streaming{id, attempt}); }
     void ended(core::Ended how) { put(std::move(how)); }
@@ -69,6 +69,7 @@
     const Settings& settings() const { return settings_; }
     log::Logger& logger() { return logger_; }
     std::size_t open() const { return state_.open(); }
+    std::size_t nodes() const { return addresses_.size(); }  // that any list has named
     std::int64_t listVersion() const { return listVersion_; }
     const core::Counters& counters() const { return state_.counters(); }
 
@@ -91,7 +92,7 @@
     void run(const core::Watch& e);
     void run(const core::ProbeStart& e);
     void run(const core::Say& e);
-    std::shared_ptr<Transfer> finish(RequestId id);          // its transfer, if it had no answer yet
+    std::shared_ptr<Transfer> finish(RequestId id);  // its transfer, if it had no answer yet
     void dropAttempt(RequestId id, int attempt);
 
     boost::asio::io_context& io_;
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -3,7 +3,8 @@
 namespace wingproxy::net {
 namespace http = boost::beast::http;
 
-Exchange::Exchange(std::shared_ptr<Connection> connection, std::string request, std::size_t bodyLimit, Done done)
+Exchange::Exchange(std::shared_ptr<Connection> connection, std::string request, std::size_t bodyLimit,
+                   Done done)
     : connection_(std::move(connection)), request_(std::move(request)), done_(std::move(done)) {
     parser_.eager(true);
     parser_.body_limit(bodyLimit);
@@ -29,7 +30,8 @@
 
 void Exchange::read() {
     connection_->socket.async_read_some(
-        connection_->in.room(), [self = shared_from_this()](const boost::system::error_code& error, std::size_t n) {
+        connection_->in.room(),
+        [self = shared_from_this()](const boost::system::error_code& error, std::size_t n) {
             if (!self->done_) return;
             self->connection_->in.commit(n);
             if (error && error != boost::asio::error::eof) self->finish(Result::Broken);
@@ -44,7 +46,7 @@
         const auto used = parser_.put(in.data(), error);
         in.consume(used);
         if (error == http::error::need_more) {
-            if (in.space() == 0) break;                      // a header that no ring can hold
+            if (in.space() == 0) break;  // a header that no ring can hold
             error = {};
             if (used == 0) break;
         }
--- a/src/net/exchange.h
+++ b/src/net/exchange.h
@@ -15,13 +15,13 @@
 class Exchange : public std::enable_shared_from_this<Exchange> {
 public:
     using Response = boost::beast::http::response<boost::beast::http::string_body>;
-    enum class Result { Answered, NotWritten, Broken };      // Broken: after the last byte was written
+    enum class Result { Answered, NotWritten, Broken };  // Broken: after the last byte was written
     using Done = std::function<void(Result, Response)>;
 
     Exchange(std::shared_ptr<Connection> connection, std::string request, std::size_t bodyLimit, Done done);
     void start();
-    void abandon();                                          // closes the connection, calls nothing
-    std::shared_ptr<Connection> reusable();                  // after Answered: the connection, if it may go on
+    void abandon();                          // closes the connection, calls nothing
+    std::shared_ptr<Connection> reusable();  // after Answered: the connection, if it may go on
 
 private:
     void write();
@@ -31,7 +31,7 @@
 
     std::shared_ptr<Connection> connection_;
     std::string request_;
-    std::size_t put_ = 0;                                    // bytes of the request handed to the ring
+    std::size_t put_ = 0;  // bytes of the request handed to the ring
     Done done_;
     boost::beast::http::response_parser<boost::beast::http::string_body> parser_;
     bool reusable_ = false;
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -6,7 +6,7 @@
 namespace {
 
 using boost::asio::ip::tcp;
-constexpr std::chrono::milliseconds kPause{10};              // before looking for a free descriptor again
+constexpr std::chrono::milliseconds kPause{10};  // before looking for a free descriptor again
 
 }  // namespace
 
@@ -25,16 +25,21 @@
     return {bound.address().to_string(), bound.port()};
 }
 
+// Waits for a client before it makes room: an idle connection is closed only for one that is there.
 void Listener::accept() {
-    // Waiting clients stay in the system's queue: better than taking one and dropping it.
-    if (hooks_.full() && !hooks_.makeRoom()) return later();
-    acceptor_.async_accept([this](const boost::system::error_code& error, tcp::socket socket) {
-        if (!acceptor_.is_open()) return;
-        if (error) {
-            hooks_.makeRoom();                               // out of descriptors, or a client that left again
+    acceptor_.async_wait(tcp::acceptor::wait_read, [this](const boost::system::error_code& error) {
+        if (error || !acceptor_.is_open()) return;
+        // Waiting clients stay in the system's queue: better than taking one and dropping it.
+        if (hooks_.full() && !hooks_.makeRoom()) return later();
+        tcp::socket socket(acceptor_.get_executor());
+        boost::system::error_code failed;
+        acceptor_.accept(socket, failed);
+        if (!failed) {
+            took(std::move(socket));
+        } else if (failed != boost::asio::error::would_block && failed != boost::asio::error::try_again) {
+            hooks_.makeRoom();  // out of descriptors, or a client that left again
             return later();
         }
-        took(std::move(socket));
         accept();
     });
 }
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -13,12 +13,12 @@
 public:
     struct Hooks {
         std::function<void(boost::asio::ip::tcp::socket)> accepted;
-        std::function<bool()> full;                          // the budget is spent
-        std::function<bool()> makeRoom;                      // closes an idle connection, if there is one
+        std::function<bool()> full;      // the budget is spent
+        std::function<bool()> makeRoom;  // closes an idle connection, if there is one
     };
     Listener(boost::asio::io_context& io, const config::Endpoint& at, Hooks hooks);
-    void close();                                            // takes what the system has accepted, then closes
-    config::Endpoint at() const;                             // as bound
+    void close();                 // takes what the system has accepted, then closes
+    config::Endpoint at() const;  // as bound
     std::uint64_t postponed() const { return postponed_; }
 
 private:
--- a/src/net/node_pool.cpp
+++ b/src/net/node_pool.cpp
@@ -23,15 +23,15 @@
     Connecting(asio::io_context& io, std::shared_ptr<Connection> connection, NodePool::Ready ready)
         : connection_(std::move(connection)), ready_(std::move(ready)), timer_(io) {}
     void start(std::chrono::microseconds in) {
-        const auto weak = weak_from_this();                  // only the ticket's owner keeps it alive
+        const auto weak = weak_from_this();  // only the ticket's owner keeps it alive
         timer_.expires_after(in);
         timer_.async_wait([weak](const boost::system::error_code& error) {
             if (const auto self = weak.lock(); self && !error) self->done(asio::error::timed_out);
         });
-        connection_->socket.async_connect(
-            tcpEndpoint(connection_->to), [weak, held = connection_](const boost::system::error_code& error) {
-                if (const auto self = weak.lock()) self->done(error);
-            });
+        connection_->socket.async_connect(tcpEndpoint(connection_->to),
+                                          [weak, held = connection_](const boost::system::error_code& error) {
+                                              if (const auto self = weak.lock()) self->done(error);
+                                          });
     }
     ~Connecting() override {
         boost::system::error_code ignored;
@@ -64,7 +64,8 @@
         : connection_(std::move(connection)), ready_(std::move(ready)) {}
     void start(asio::io_context& io) {
         asio::post(io, [weak = weak_from_this()] {
-            if (const auto self = weak.lock()) std::exchange(self->ready_, nullptr)(std::move(self->connection_));
+            if (const auto self = weak.lock())
+                std::exchange(self->ready_, nullptr)(std::move(self->connection_));
         });
     }
 
@@ -75,9 +76,7 @@
 
 }  // namespace
 
-tcp::endpoint tcpEndpoint(const config::Endpoint& e) {
-    return {asio::ip::make_address_v4(e.host), e.port};
-}
+tcp::endpoint tcpEndpoint(const config::Endpoint& e) { return {asio::ip::make_address_v4(e.host), e.port}; }
 
 NodePool::NodePool(asio::io_context& io, Limits limits) : io_(io), limits_(limits), sweeper_(io) { sweep(); }
 
@@ -92,7 +91,7 @@
 std::shared_ptr<Connection> NodePool::takeIdle(const config::Endpoint& to) {
     const auto it = idle_.find(to);
     while (it != idle_.end() && !it->second.empty()) {
-        auto connection = std::move(it->second.back());      // the newest: the others may go idle for good
+        auto connection = std::move(it->second.back());  // the newest: the others may go idle for good
         it->second.pop_back();
         if (quiet(connection->socket)) return connection;
     }
@@ -112,7 +111,7 @@
         connection = make();
         connection->to = to;
         connection->socket.open(tcp::v4(), error);
-        if (error) connection = nullptr;                     // out of descriptors: as if the node refused
+        if (error) connection = nullptr;  // out of descriptors: as if the node refused
     }
     if (!connection) {
         const auto ticket = std::make_shared<Posted>(nullptr, std::move(ready));
--- a/src/net/node_pool.h
+++ b/src/net/node_pool.h
@@ -19,7 +19,7 @@
     explicit Connection(boost::asio::io_context& io) : socket(io), in(kRing), out(kRing) {}
     static constexpr std::size_t kRing = 16 * 1024;
     boost::asio::ip::tcp::socket socket;
-    RingBuffer in, out;                                      // one a direction
+    RingBuffer in, out;  // one a direction
     config::Endpoint to;
     std::chrono::steady_clock::time_point idleSince;
 };
@@ -27,19 +27,19 @@
 class NodePool {
 public:
     struct Limits {
-        std::size_t most = 400;                              // connections, idle ones included
+        std::size_t most = 400;  // connections, idle ones included
         std::chrono::microseconds connectIn{250'000}, idle{15'000'000};
     };
     // A pending connect; dropping it before it is done closes the socket and calls nothing.
     struct Ticket {
         virtual ~Ticket() = default;
     };
-    using Ready = std::function<void(std::shared_ptr<Connection>)>;    // empty: could not connect
+    using Ready = std::function<void(std::shared_ptr<Connection>)>;  // empty: could not connect
 
     NodePool(boost::asio::io_context& io, Limits limits);
     std::shared_ptr<Ticket> acquire(const config::Endpoint& to, Ready ready);
-    void release(std::shared_ptr<Connection> connection);   // whole, nothing unread: may serve again
-    void clear();                                            // closes what is idle; later releases close too
+    void release(std::shared_ptr<Connection> connection);  // whole, nothing unread: may serve again
+    void clear();                                          // closes what is idle; later releases close too
     std::size_t open() const { return *open_; }
     std::uint64_t opened() const { return opened_; }
     std::uint64_t reused() const { return reused_; }
--- a/src/net/peers.cpp
+++ b/src/net/peers.cpp
@@ -33,7 +33,8 @@
     }
     const auto send = [&](const udp::endpoint& target) {
         boost::system::error_code error;
-        socket_.send_to(boost::asio::buffer(bytes), target, 0, error);  // a full buffer loses it, as a network may
+        socket_.send_to(boost::asio::buffer(bytes), target, 0,
+                        error);  // a full buffer loses it, as a network may
         ++(error ? counters_.unsent : counters_.sent);
     };
     if (to >= 0) send(peers_[std::size_t(to)]);
@@ -44,19 +45,21 @@
 }
 
 void Peers::receive() {
-    socket_.async_receive_from(
-        boost::asio::buffer(buffer_), sender_, [this](const boost::system::error_code& error, std::size_t n) {
-            if (error == boost::asio::error::operation_aborted || !socket_.is_open()) return;
-            const auto from = numbers_.find(sender_);
-            if (error) ++counters_.unknown;
-            else if (n > kMost) ++counters_.oversize;
-            else if (from == numbers_.end() || from->second == self_) ++counters_.unknown;
-            else {
-                ++counters_.received;
-                engine_.heard(from->second, std::string(buffer_.data(), n));
-            }
-            receive();
-        });
+    socket_.async_receive_from(boost::asio::buffer(buffer_), sender_,
+                               [this](const boost::system::error_code& error, std::size_t n) {
+                                   if (error == boost::asio::error::operation_aborted || !socket_.is_open())
+                                       return;
+                                   const auto from = numbers_.find(sender_);
+                                   if (error) ++counters_.unknown;
+                                   else if (n > kMost) ++counters_.oversize;
+                                   else if (from == numbers_.end() || from->second == self_)
+                                       ++counters_.unknown;
+                                   else {
+                                       ++counters_.received;
+                                       engine_.heard(from->second, std::string(buffer_.data(), n));
+                                   }
+                                   receive();
+                               });
 }
 
 void Peers::stop() {
--- a/src/net/peers.h
+++ b/src/net/peers.h
@@ -13,7 +13,9 @@
 class Peers {
 public:
     static constexpr std::size_t kMost = 256;
-    struct Counters { std::uint64_t sent = 0, received = 0, unsent = 0, unknown = 0, oversize = 0; };
+    struct Counters {
+        std::uint64_t sent = 0, received = 0, unsent = 0, unknown = 0, oversize = 0;
+    };
     Peers(Engine& engine, const config::Config& config);
     void tell(int to, const std::string& bytes);
     void stop();
--- a/src/net/ring_buffer.h
+++ b/src/net/ring_buffer.h
@@ -4,9 +4,10 @@
 #include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
-#include <cstring>
 #include <memory>
+#include <string>
 #include <string_view>
+#include <utility>
 
 namespace wingproxy::net {
 
@@ -16,7 +17,7 @@
     std::size_t capacity() const { return capacity_; }
     std::size_t size() const { return size_; }
     std::size_t space() const { return capacity_ - size_; }
-    void clear() { head_ = size_ = 0; }
+    void clear() { consume(size_); }
 
     // What is held, oldest first; the second part is empty unless the bytes wrap.
     std::array<boost::asio::const_buffer, 2> data() const {
@@ -33,9 +34,37 @@
     }
     void commit(std::size_t n) { size_ += std::min(n, space()); }
     void consume(std::size_t n) {
+        // The head is never set back to 0: a read may be under way into the room behind the tail.
         n = std::min(n, size_);
         size_ -= n;
-        head_ = size_ == 0 ? 0 : (head_ + n) % capacity_;
+        head_ = (head_ + n) % capacity_;
+    }
+    // The newest n bytes, in order.
+    std::array<std::string_view, 2> newest(std::size_t n) const {
+        std::array<std::string_view, 2> parts;
+        std::size_t skip = size_ - std::min(n, size_), i = 0;
+        for (const auto& part : data()) {
+            const auto cut = std::min(skip, part.size());
+            skip -= cut;
+            parts[i++] = {static_cast<const char*>(part.data()) + cut, part.size() - cut};
+        }
+        return parts;
+    }
+    // Takes one line without its end, if a whole one is there.
+    bool line(std::string& into) {
+        std::size_t at = 0;
+        into.clear();
+        for (const auto& part : newest(size_)) {
+            const auto end = part.find('\n');
+            into.append(part.substr(0, end));
+            if (end != std::string_view::npos) {
+                consume(at + end + 1);
+                if (!into.empty() && into.back() == '\r') into.pop_back();
+                return true;
+            }
+            at += part.size();
+        }
+        return false;
     }
     // Takes as much of the text as fits; returns how much that was.
     std::size_t put(std::string_view text) {
--- /dev/null
+++ b/src/net/session.cpp
@@ -0,0 +1,128 @@
+#include "net/session.h"
+
+namespace wingproxy::net {
+namespace {
+
+using boost::asio::ip::tcp;
+constexpr std::chrono::milliseconds kLinger{300};  // for the client to read the last answer and close
+
+}  // namespace
+
+Session::Session(Door& door, tcp::socket socket)
+    : door_(door), socket_(std::move(socket)), in_(kRing), out_(kRing), linger_(door.io()) {}
+
+// Reads on while an answer is owed as well: that is how a client's leaving is noticed.
+void Session::read() {
+    if (reading_ || !open_ || in_.space() == 0) return;
+    reading_ = true;
+    socket_.async_read_some(
+        in_.room(), [self = shared_from_this()](const boost::system::error_code& error, std::size_t n) {
+            self->reading_ = false;
+            if (!self->open_) return;
+            if (error) {
+                if (!self->lingering_) self->left();
+                return self->close();
+            }
+            self->in_.commit(n);
+            if (self->lingering_) self->in_.clear();
+            else self->received();
+            self->read();
+        });
+}
+
+void Session::send(std::string text) {
+    if (!open_) return;
+    const bool idle = put_ == text_.size() && out_.size() == 0;
+    text_.erase(0, put_);
+    put_ = 0;
+    text_ += text;
+    if (idle) write();
+}
+
+void Session::write() {
+    put_ += out_.put(std::string_view(text_).substr(put_));
+    if (out_.size() == 0) {
+        text_.clear();
+        put_ = 0;
+        return sent();
+    }
+    socket_.async_write_some(
+        out_.data(), [self = shared_from_this()](const boost::system::error_code& error, std::size_t n) {
+            if (!self->open_) return;
+            self->out_.consume(n);
+            if (!error) return self->write();
+            if (!self->lingering_) self->left();
+            self->close();
+        });
+}
+
+// A reset on unread bytes could take the answer back, so the sending side ends first.
+void Session::linger() {
+    if (!open_ || lingering_) return;
+    lingering_ = true;
+    boost::system::error_code ignored;
+    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    in_.clear();
+    linger_.expires_after(kLinger);
+    linger_.async_wait([self = shared_from_this()](const boost::system::error_code&) { self->close(); });
+    read();
+}
+
+std::size_t Session::unread() const {
+    boost::system::error_code error;
+    const auto bytes = socket_.available(error);
+    return error ? 0 : bytes;
+}
+
+void Session::touch() { door_.sessions_.splice(door_.sessions_.end(), door_.sessions_, place_); }
+
+void Session::close() {
+    if (!open_) return;
+    open_ = false;
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+    linger_.cancel();
+    door_.sessions_.erase(place_);  // may be the last but for who calls
+}
+
+Door::Door(boost::asio::io_context& io, const config::Endpoint& at, std::size_t most, Make make)
+    : io_(io),
+      most_(most),
+      listener_(io, at,
+                {[this, make = std::move(make)](tcp::socket socket) {
+                     ++accepted_;
+                     const auto session = make(*this, std::move(socket));
+                     session->place_ = sessions_.insert(sessions_.end(), session);
+                     session->start();
+                 },
+                 [this] { return sessions_.size() >= most_; }, [this] { return closeOldestIdle(); }}),
+      at_(listener_.at()) {}
+
+bool Door::closeOldestIdle() {
+    for (const auto& session : sessions_)
+        if (session->idle() && session->unread() == 0) {
+            ++closedIdle_;
+            const auto held = session;
+            held->close();
+            return true;
+        }
+    return false;
+}
+
+void Door::closeListener() {
+    listening_ = false;
+    listener_.close();
+}
+
+void Door::closeIdle() {
+    while (closeOldestIdle()) {}
+}
+
+void Door::stop() {
+    while (!sessions_.empty()) {
+        const auto held = sessions_.front();
+        held->close();
+    }
+}
+
+}  // namespace wingproxy::net
--- /dev/null
+++ b/src/net/session.h
@@ -0,0 +1,78 @@
+// A client's connection, and the door that holds a listener's connections within their budget.
+#pragma once
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+
+#include "net/listener.h"
+#include "net/ring_buffer.h"
+
+namespace wingproxy::net {
+
+class Door;
+
+// Owned by its door's list; handlers keep it alive until they have run. What is said on it is the fronts'.
+class Session : public std::enable_shared_from_this<Session> {
+public:
+    Session(Door& door, boost::asio::ip::tcp::socket socket);
+    virtual ~Session() = default;
+    virtual void start() { read(); }
+    virtual bool idle() const = 0;  // nothing is owed to the client: it may be closed
+    void close();
+
+protected:
+    static constexpr std::size_t kRing = 16 * 1024;
+    virtual void received() = 0;  // there is more in in_
+    virtual void left() {}        // the client closed, or its connection broke
+    virtual void sent() {}        // all that send() was given is written
+    void read();                  // goes on by itself while in_ has room
+    void send(std::string text);
+    void linger();  // nothing more to say: the client closes, or a while
+    void touch();   // now the last of the idle ones to be closed
+    bool open() const { return open_; }
+
+    Door& door_;
+    boost::asio::ip::tcp::socket socket_;
+    RingBuffer in_, out_;
+
+private:
+    friend class Door;
+    void write();
+    std::size_t unread() const;  // bytes that wait in the system
+    std::string text_;
+    std::size_t put_ = 0;
+    boost::asio::steady_timer linger_;
+    bool open_ = true, reading_ = false, lingering_ = false;
+    std::list<std::shared_ptr<Session>>::iterator place_;
+};
+
+class Door {
+public:
+    using Make = std::function<std::shared_ptr<Session>(Door&, boost::asio::ip::tcp::socket)>;
+    Door(boost::asio::io_context& io, const config::Endpoint& at, std::size_t most, Make make);
+    void closeListener();  // first takes the clients that wait
+    void closeIdle();
+    void stop();
+    bool listening() const { return listening_; }
+    std::size_t connections() const { return sessions_.size(); }
+    std::uint64_t accepted() const { return accepted_; }
+    std::uint64_t closedIdle() const { return closedIdle_; }
+    std::size_t most() const { return most_; }
+    config::Endpoint at() const { return at_; }
+    boost::asio::io_context& io() { return io_; }
+
+private:
+    friend class Session;
+    bool closeOldestIdle();
+    boost::asio::io_context& io_;
+    std::size_t most_;
+    bool listening_ = true;
+    std::uint64_t accepted_ = 0, closedIdle_ = 0;
+    std::list<std::shared_ptr<Session>> sessions_;  // the longest untouched first
+    Listener listener_;
+    config::Endpoint at_;
+};
+
+}  // namespace wingproxy::net
--- /dev/null
+++ b/src/rsync/node_client.cpp
@@ -0,0 +1,205 @@
+#include "rsync/node_client.h"
+
+#include <boost/asio/write.hpp>
+
+namespace wingproxy::rsync {
+
+NodeAttempt::NodeAttempt(net::Engine& engine, net::NodePool& pool, const net::AttemptOrder& order,
+                         std::shared_ptr<const Order> transfer, std::weak_ptr<Client> client)
+    : engine_(engine),
+      pool_(pool),
+      order_(order),
+      transfer_(std::move(transfer)),
+      client_(std::move(client)),
+      sender_(transfer_->options, transfer_->options.pull),
+      generator_(transfer_->options.pull),
+      fromNode_(transfer_->options.pull ? static_cast<Follower&>(sender_) : generator_) {}
+
+void NodeAttempt::start() {
+    ticket_ =
+        pool_.acquire(order_.node, [self = shared_from_this()](std::shared_ptr<net::Connection> connection) {
+            if (!self->over_) self->connected(std::move(connection));
+        });
+}
+
+void NodeAttempt::connected(std::shared_ptr<net::Connection> connection) {
+    ticket_ = nullptr;
+    // Past its time the node may have been told to drain meanwhile: not a byte goes out.
+    if (!connection || engine_.now() > order_.firstByteBy) return end(Outcome::ConnectFailed);
+    connection_ = std::move(connection);
+    say(greeting() + transfer_->remoteModule + "\n");
+    read();
+}
+
+void NodeAttempt::say(const std::string& text) {
+    unsaid_ += text;
+    if (!saying_) write();
+}
+
+void NodeAttempt::write() {
+    auto& out = connection_->out;
+    unsaid_.erase(0, out.put(unsaid_));
+    saying_ = out.size() > 0;
+    if (!saying_) {
+        asked_ = stage_ >= Stage::Arguments;
+        return;
+    }
+    connection_->socket.async_write_some(
+        out.data(), [self = shared_from_this()](const boost::system::error_code& error, std::size_t n) {
+            if (self->over_) return;
+            self->connection_->out.consume(n);
+            if (error) self->end(Outcome::ConnectFailed);  // not all of the request was written
+            else self->write();
+        });
+}
+
+void NodeAttempt::read() {
+    if (reading_ || nodeEnded_ || connection_->in.space() == 0) return;
+    reading_ = true;
+    connection_->socket.async_read_some(
+        connection_->in.room(),
+        [self = shared_from_this()](const boost::system::error_code& error, std::size_t n) {
+            self->reading_ = false;
+            if (self->over_) return;
+            self->connection_->in.commit(n);
+            if (error) self->nodeEnded_ = true;
+            if (self->stage_ == Stage::Stream) self->stream(n);
+            else self->lines();
+            if (self->over_) return;
+            if (self->nodeEnded_) self->finishIfWhole();
+            else self->read();
+        });
+}
+
+// The node's lines before its stream. All that comes before the arguments were written proves that nothing
+// ran.
+void NodeAttempt::lines() {
+    std::string line;
+    while (stage_ != Stage::Arguments && connection_->in.line(line)) {
+        int version = 0;
+        if (line.starts_with("@ERROR")) return end(Outcome::Full);
+        if (stage_ == Stage::Greeting) {
+            if (!parseGreeting(line, version) || version < kVersion) return end(Outcome::Full);
+            stage_ = Stage::Module;
+        } else if (line == "@RSYNCD: OK") {  // any other line is the message of the day
+            std::string arguments;
+            for (auto argument : transfer_->arguments) {
+                if (argument.starts_with(transfer_->module))
+                    argument.replace(0, transfer_->module.size(), transfer_->remoteModule);
+                arguments += argument + "\n";
+            }
+            stage_ = Stage::Arguments;
+            say(arguments + "\n");
+        } else if (line.starts_with("@RSYNCD:")) {
+            return end(Outcome::Full);  // it wants a password, or says goodbye
+        }
+    }
+    if (stage_ != Stage::Arguments) {
+        if (connection_->in.space() == 0) end(Outcome::Full);
+        return;
+    }
+    if (connection_->in.size() == 0) return;
+    const auto client = client_.lock();
+    if (!client) return end(Outcome::Cancelled);
+    stage_ = Stage::Stream;
+    engine_.streaming(order_.id, order_.attempt);  // from now on answer bytes go to the client
+    client->relayTo([weak = weak_from_this()] {
+        if (const auto self = weak.lock()) self->toNode();
+    });
+    stream(connection_->in.size());
+    if (!over_) toNode();
+}
+
+// Bytes are followed before they are passed on: what does not fit the protocol never reaches the client.
+void NodeAttempt::stream(std::size_t newest) {
+    for (const auto& part : connection_->in.newest(newest))
+        if (fromNode_.feed(part) == Progress::Broken) {
+            engine_.logger().warn("rsync: a node's stream is broken, {}", fromNode_.why());
+            return end(Outcome::Reset);
+        }
+    toClient();
+}
+
+void NodeAttempt::toClient() {
+    const auto client = client_.lock();
+    if (!client) return end(Outcome::Cancelled);
+    if (writingClient_ || connection_->in.size() == 0) return finishIfWhole();
+    writingClient_ = true;
+    client->socket().async_write_some(
+        connection_->in.data(),
+        [self = shared_from_this(), client](const boost::system::error_code& error, std::size_t n) {
+            self->writingClient_ = false;
+            if (self->over_) return;
+            self->connection_->in.consume(n);
+            if (error) return;  // the client's own read tells that it left
+            self->read();
+            self->toClient();
+        });
+}
+
+void NodeAttempt::toNode() {
+    const auto client = client_.lock();
+    if (over_ || writingNode_ || !client) return;
+    auto& held = client->held();
+    if (held.size() == 0) return finishIfWhole();
+    Follower& fromClient = transfer_->options.pull ? static_cast<Follower&>(generator_) : sender_;
+    const auto first = held.data()[0];
+    if (fromClient.feed({static_cast<const char*>(first.data()), first.size()}) == Progress::Broken) {
+        engine_.logger().warn("rsync: a client's stream is broken, {}", fromClient.why());
+        return end(Outcome::Reset);
+    }
+    writingNode_ = true;
+    boost::asio::async_write(
+        connection_->socket, boost::asio::buffer(first),
+        [self = shared_from_this(), client](const boost::system::error_code& error, std::size_t n) {
+            self->writingNode_ = false;
+            if (self->over_) return;
+            if (error) return self->end(Outcome::Reset);
+            client->held().consume(n);
+            client->readOn();
+            self->toNode();
+        });
+}
+
+// Completed: the node's stream came to its end and the client has all of it.
+void NodeAttempt::finishIfWhole() {
+    if (over_) return;
+    if (stage_ != Stage::Stream) {
+        if (nodeEnded_) end(asked_ ? Outcome::Reset : Outcome::ConnectFailed);
+        return;
+    }
+    const bool pull = transfer_->options.pull;
+    const Follower& fromClient = pull ? static_cast<const Follower&>(generator_) : sender_;
+    if (delivered()) {
+        // A puller's goodbye goes on to the node, unless the node has closed already.
+        if (fromClient.progress() == Progress::Done && !writingNode_) end(Outcome::Ok);
+        else if (nodeEnded_) end(pull ? Outcome::Ok : Outcome::Reset);
+    } else if (nodeEnded_ && !writingClient_ && connection_->in.size() == 0) {
+        end(Outcome::Reset);
+    }
+}
+
+bool NodeAttempt::delivered() const {
+    const bool pull = transfer_->options.pull;
+    const Follower& fromNode = pull ? static_cast<const Follower&>(sender_) : generator_;
+    return !over_ && stage_ == Stage::Stream && fromNode.progress() == Progress::Done && !writingClient_ &&
+           connection_->in.size() == 0;
+}
+
+// With the last byte delivered a client may leave without a goodbye.
+void NodeAttempt::clientLeft() { end(delivered() ? Outcome::Ok : Outcome::Cancelled); }
+
+void NodeAttempt::end(Outcome outcome) {
+    if (over_) return;
+    abandon();
+    engine_.ended({order_.id, order_.attempt, outcome, 0, 0, {}});
+}
+
+void NodeAttempt::abandon() {
+    over_ = true;
+    ticket_ = nullptr;
+    boost::system::error_code ignored;
+    if (connection_) connection_->socket.close(ignored);  // its rings stay until the handlers have run
+}
+
+}  // namespace wingproxy::rsync
--- /dev/null
+++ b/tests/front_test.cpp
@@ -0,0 +1,274 @@
+// The platform's front on real sockets: one test a rule.
+#include "net_support.h"
+
+using namespace wingproxy;
+using namespace wingproxy::test;
+
+TEST_CASE("a served request: passed through unchanged, answered once, connections kept") {
+    Rig rig;
+    const auto client = rig.client();
+    client->say(Ask{.kind = "alta", .body = "datos"}.text());
+    const auto node = rig.nodeHas("datos");
+    CHECK(node->has("PUT /api?x=1 HTTP/1.1\r\n"));
+    CHECK(node->has("Req-Id: 9b1f03aa5c7e2d41\r\n"));
+    CHECK(node->has("Idempotency-Key: k-1\r\n"));
+    node->say(ok("hecho", "Volume-Load: 10\r\nSrv-Load: queue=2\r\n"));
+    rig.until([&] { return client->has("hecho"); });
+    CHECK(client->has("HTTP/1.1 200 "));
+    client->drop(), node->drop();
+    client->say(Ask{.id = "00000000000000b2"}.text());
+    CHECK(rig.nodeHas("00000000000000b2") == node);  // no second connection, on either side
+    node->say(ok("otra"));
+    rig.until([&] { return client->has("otra"); });
+    CHECK(rig.front.door().accepted() == 1);
+    CHECK(rig.pool.opened() == 1);
+}
+
+TEST_CASE("an answer in pieces and a body as long as the platform allows") {
+    Rig rig;
+    const auto client = rig.client();
+    const std::string body(64 * 1024, 'x');
+    client->say(Ask{.kind = "alta", .body = body}.text());
+    const auto node = rig.nodeHas(body);
+    const auto answer = ok(body);
+    node->say(answer.substr(0, 30));
+    node->say(answer.substr(30));
+    rig.until([&] { return client->has(body); });
+}
+
+TEST_CASE("malformed requests get their status, and nothing reaches a node") {
+    const struct {
+        std::string text;
+        const char *status, *names;
+        bool closes;
+    } cases[] = {
+        {"nonsense\r\n\r\n", "400", "", true},
+        {"GET /api HTTP/1.1\r\nHost: x\r\n\r\n", "400", "Req-Id", false},
+        {"GET /api HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", "400", "", true},
+        {"GET /api HTTP/1.1\r\nX: " + std::string(9000, 'a') + "\r\n\r\n", "431", "", true},
+        {"PUT /api HTTP/1.1\r\nContent-Length: 70000\r\n\r\n", "413", "", true},
+        {"PUT /api HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n", "501", "Transfer-Encoding", true},
+    };
+    Rig rig;
+    for (const auto& c : cases) {
+        const auto client = rig.client();
+        client->say(c.text);
+        rig.until([&] { return client->has("\r\n\r\n") && client->has(c.names); }, c.status);
+        CHECK_MESSAGE(client->has(std::string("HTTP/1.1 ") + c.status), client->got);
+        if (c.closes) rig.until([&] { return client->ended; });
+        else CHECK(!client->ended);
+    }
+    CHECK(rig.node().wires.empty());
+    CHECK(rig.engine.counters().taken == 0);
+}
+
+TEST_CASE("the ready path, and a request in two pieces") {
+    Rig rig;
+    const auto client = rig.client();
+    client->say("GET /up HT");
+    client->say("TP/1.1\r\nHost: x\r\n\r\n");
+    rig.until([&] { return client->has("200"); });
+}
+
+TEST_CASE("a node that turns a request away never ran it: it is tried again") {
+    Rig rig;
+    const auto client = rig.client();
+    client->say(Ask{.kind = "alta"}.text());
+    const auto node = rig.nodeHas("Req-Id");
+    node->drop();
+    node->say(status(503, "Srv-Declined: 1\r\n"));
+    rig.nodeHas("Req-Id")->say(ok("al fin"));
+    rig.until([&] { return client->has("al fin"); });
+    CHECK(rig.outcomes(Outcome::Full) == 1);
+}
+
+TEST_CASE("a connection that breaks after the last byte is a reset, and a read is tried again on a new one") {
+    Rig rig;
+    const auto client = rig.client();
+    client->say(Ask{}.text());
+    rig.nodeHas("Req-Id")->reset();
+    rig.until([&] { return rig.node().wires.size() == 2; });
+    rig.node().wires[1]->say(ok("bien"));
+    rig.until([&] { return client->has("bien"); });
+    CHECK(rig.outcomes(Outcome::Reset) == 1);
+    CHECK(rig.outcomes(Outcome::ConnectFailed) == 0);
+}
+
+TEST_CASE("a node that refuses connections never ran the request") {
+    Rig rig;
+    rig.node().acceptor.close();
+    const auto client = rig.client();
+    client->say(Ask{.kind = "alta", .deadlineMs = 400}.text());
+    rig.until([&] { return client->has("\r\n\r\n"); });
+    CHECK(client->has("HTTP/1.1 503 "));  // nothing ran, so it may be refused
+    CHECK(client->has("Retry-After: "));
+    CHECK(rig.outcomes(Outcome::ConnectFailed) >= 1);
+    CHECK(rig.outcomes(Outcome::Reset) == 0);
+}
+
+TEST_CASE("a pooled connection that the node closed is not used") {
+    Rig rig;
+    const auto client = rig.client();
+    client->say(Ask{}.text());
+    const auto first = rig.nodeHas("Req-Id");
+    first->say(ok("uno"));
+    rig.until([&] { return client->has("uno"); });
+    first->close();
+    client->say(Ask{.id = "00000000000000b2"}.text());
+    const auto second = rig.nodeHas("00000000000000b2");
+    CHECK(second != first);
+    second->say(ok("dos"));
+    rig.until([&] { return client->has("dos"); });
+    CHECK(rig.outcomes(Outcome::Reset) == 0);
+}
+
+TEST_CASE("the deadline: answered in time, the attempt's connection closed, a late answer reaches nobody") {
+    Rig rig;
+    const auto client = rig.client();
+    const auto since = std::chrono::steady_clock::now();
+    client->say(Ask{.deadlineMs = 150}.text());
+    const auto node = rig.nodeHas("Req-Id");
+    rig.until([&] { return client->has("\r\n\r\n"); });
+    CHECK(std::chrono::steady_clock::now() - since < std::chrono::milliseconds(200));
+    CHECK(!client->has(" 200 "));
+    rig.until([&] { return node->ended; });
+    node->say(ok("tarde"));
+    client->drop();
+    client->say(Ask{.id = "00000000000000b2"}.text());
+    rig.nodeHas("00000000000000b2")->say(ok("propia"));
+    rig.until([&] { return client->has("propia"); });
+    CHECK(!client->has("tarde"));
+}
+
+TEST_CASE("a client that closes is gone, and its request is owed nothing") {
+    Rig rig;
+    const auto client = rig.client();
+    client->say(Ask{}.text());
+    const auto node = rig.nodeHas("Req-Id");
+    client->close();
+    rig.until([&] { return rig.engine.counters().gone == 1; });
+    CHECK(rig.engine.open() == 0);
+    node->say(ok("para nadie"));
+    rig.until([&] { return rig.outcomes(Outcome::Ok) == 1; });
+}
+
+TEST_CASE("nothing new goes to a node after it was told to drain; what is out may end") {
+    Rig rig;
+    const auto client = rig.client(), other = rig.client();
+    client->say(Ask{}.text());
+    const auto node = rig.nodeHas("Req-Id");
+    rig.tellState("s-0", "draining");
+    other->say(Ask{.id = "00000000000000b2", .deadlineMs = 300}.text());
+    node->say(ok("de antes"));
+    rig.until([&] { return client->has("de antes") && other->has("\r\n\r\n"); });
+    CHECK(other->has("HTTP/1.1 503 "));
+    CHECK(!node->has("00000000000000b2"));
+    CHECK(rig.node().wires.size() == 1);
+}
+
+TEST_CASE("an attempt that took too long to connect writes no byte") {
+    auto config = baseConfig();
+    Rig rig(std::move(config));
+    const auto message = std::make_shared<http::Message>(boost::beast::http::verb::get, "/api", 11);
+    // Its time is over already when the connection is up: the node may be draining by now.
+    const auto attempt = std::make_shared<http::NodeAttempt>(
+        rig.engine, rig.pool,
+        net::AttemptOrder{9, 0, rig.node().at(), rig.engine.now() - 1, rig.engine.now() + 1'000'000}, message,
+        [](int, http::Answer) {});
+    attempt->start();
+    rig.until([&] { return rig.engine.counters().late == 1 && rig.node().wires.size() == 1; });
+    CHECK(rig.node().wires[0]->got.empty());
+}
+
+TEST_CASE("the limit of a plan holds: the store is spent once, the rest is refused with when to come back") {
+    Rig rig;
+    Spending spent(rig);
+    std::vector<WirePtr> clients;
+    for (int i = 0; i < 30; ++i) {  // six times what a second fills
+        clients.push_back(rig.client());
+        clients.back()->say(Spending::ask(100 + i).text());
+    }
+    rig.until([&] {
+        return std::all_of(clients.begin(), clients.end(), [](const auto& c) { return c->has("\r\n\r\n"); });
+    });
+    for (const auto& client : clients) {
+        spent.units += client->has(" 200 ") ? Spending::kUnits : 0;
+        CHECK((client->has(" 200 ") || (client->has("HTTP/1.1 503 ") && client->has("Retry-After: "))));
+    }
+    CHECK(spent.units < Spending::kUnits * 38);
+    CHECK(spent.units <= spent.allowed());
+}
+
+TEST_CASE("a full house: an idle connection makes room for a new client") {
+    Rig rig(baseConfig(), 1, 2);
+    const auto first = rig.client(), second = rig.client();
+    rig.until([&] { return rig.front.door().connections() == 2; });
+    const auto third = rig.client();
+    third->say("GET /up HTTP/1.1\r\nHost: x\r\n\r\n");
+    rig.until([&] { return third->has("200") && first->ended; });
+    CHECK(!second->ended);
+}
+
+TEST_CASE("stopping: what waits is taken, answers end their connections, idle ones are closed") {
+    Rig rig;
+    const auto busy = rig.client(), idle = rig.client();
+    busy->say(Ask{}.text());
+    const auto node = rig.nodeHas("Req-Id");
+    rig.until([&] { return rig.front.door().connections() == 2; });
+    rig.front.drain();
+    const auto late = rig.client();  // accepted by the system, not yet by the program
+    late->say(Ask{.id = "00000000000000b2"}.text());
+    rig.front.door().closeListener();
+    node->say(ok("hecho"));
+    const auto second = rig.nodeHas("00000000000000b2");
+    second->say(ok("tambien"));
+    rig.until([&] { return busy->has("hecho") && late->has("tambien") && busy->ended; });
+    rig.front.door().closeIdle();
+    rig.until([&] { return idle->ended; });
+    CHECK(busy->has("Connection: close"));
+    rig.until([&] { return rig.front.door().connections() == 0 && rig.engine.open() == 0; });
+}
+
+TEST_CASE("discovery: the next watch follows the answer, and bad lists are counted and dropped") {
+    Rig rig;
+    rig.tellState("s-0", "draining");
+    rig.until([&] { return rig.discoveryServer.wires.back()->has("after=2&wait_ms="); });
+    const auto wire = rig.discoveryServer.wires.back();
+    wire->say(ok("{\"generation\":3,\"instances\":7}"));
+    rig.until([&] { return rig.discovery.counters().malformed == 1; });
+    CHECK(rig.discovery.counters().failed == 1);  // which the module hears as a call that was lost
+    rig.until([&] { return rig.discovery.counters().calls == 3; });  // and it asks again
+    CHECK(rig.engine.listVersion() == 2);
+}
+
+TEST_CASE("datagrams: only from the peers, only of up to 256 bytes") {
+    auto config = baseConfig();
+    asio::io_context probeIo;
+    asio::ip::udp::socket peer(probeIo, {asio::ip::make_address_v4("127.0.0.1"), 0});
+    asio::ip::udp::socket stranger(probeIo, {asio::ip::make_address_v4("127.0.0.1"), 0});
+    asio::ip::udp::socket own(probeIo, {asio::ip::make_address_v4("127.0.0.1"), 0});
+    const auto port = own.local_endpoint().port();
+    own.close();
+    config.peerListen = {"127.0.0.1", port};
+    config.peers = {config.peerListen, {"127.0.0.1", peer.local_endpoint().port()}};
+    config.settings.hosts = 2;
+    config.settings.mayTellPeers = true;
+    Rig rig(std::move(config));
+    const asio::ip::udp::endpoint to{asio::ip::make_address_v4("127.0.0.1"), port};
+    peer.send_to(asio::buffer(std::string(200, 'a')), to);  // not a message of the module's: it ignores it
+    peer.send_to(asio::buffer(std::string(257, 'a')), to);
+    stranger.send_to(asio::buffer(std::string(20, 'a')), to);
+    rig.until([&] {
+        const auto& c = rig.peers.counters();
+        return c.received == 1 && c.oversize == 1 && c.unknown == 1;
+    });
+    rig.until(
+        [&] { return rig.peers.counters().sent > 0; });  // the module's own words, from the same address
+    std::array<char, 512> bytes{};
+    asio::ip::udp::endpoint from;
+    CHECK(peer.receive_from(asio::buffer(bytes), from) <= 256);
+    CHECK(from == to);
+    const auto unsent = rig.peers.counters().unsent;
+    rig.peers.tell(1, std::string(257, 'b'));
+    CHECK(rig.peers.counters().unsent == unsent + 1);
+}
--- /dev/null
+++ b/tests/reducer_test.cpp
@@ -0,0 +1,148 @@
+// The reducer alone: no sockets and no clock, one input at a time.
+#include "core/reducer.h"
+
+#include <doctest/doctest.h>
+
+#include "support.h"
+
+using namespace wingproxy;
+using namespace wingproxy::core;
+using test::kMs;
+
+namespace {
+
+struct Machine {
+    Machine() : state(test::settings(), Limits{250 * kMs}, test::kStart) {
+        put(News{test::nodes({test::node("n0", 0), test::node("n1", 1)})});
+    }
+    Effects put(Input input) {
+        auto all = reduce(state, now, std::move(input));
+        for (auto& e : reduce(state, now, CloseBatch{})) all.push_back(std::move(e));
+        return all;
+    }
+    Effects wakeAt(Micros when) {
+        now = when;
+        return put(Wake{});
+    }
+    Effects take(RequestId id, int cls = 0, Micros wait = 2'000 * kMs) {
+        auto r = test::request(id, cls, 1, now);
+        r.deadlineUs = now + wait;
+        return put(Arrived{r});
+    }
+    Micros now = test::kStart;
+    State state;
+};
+
+template <typename T>
+std::vector<T> of(const Effects& effects) {
+    std::vector<T> out;
+    for (const auto& e : effects)
+        if (const auto* t = std::get_if<T>(&e)) out.push_back(*t);
+    return out;
+}
+
+core::Ended ended(RequestId id, int attempt, Outcome outcome) { return {id, attempt, outcome, 0, 0, {}}; }
+
+}  // namespace
+
+TEST_CASE("the first success is the answer, and only once") {
+    Machine m;
+    const auto starts = of<StartAttempt>(m.take(1));
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].attempt == 0);
+    CHECK(starts[0].node == "n0");
+    m.now += 20 * kMs;
+    const auto effects = m.put(ended(1, 0, Outcome::Ok));
+    CHECK(of<Deliver>(effects).size() == 1);
+    CHECK(m.state.open() == 0);
+    CHECK(of<Deliver>(m.put(ended(1, 0, Outcome::Ok))).empty());  // told twice
+    CHECK(m.state.counters().late == 1);
+}
+
+TEST_CASE("attempts are numbered in order and never more than the settings allow") {
+    Machine m;
+    auto starts = of<StartAttempt>(m.take(1));
+    std::vector<int> numbers;
+    for (int i = 0; i < 5 && !starts.empty(); ++i) {
+        numbers.push_back(starts.back().attempt);
+        m.now += 5 * kMs;
+        auto effects = m.put(ended(1, starts.back().attempt, Outcome::ConnectFailed));
+        starts = of<StartAttempt>(effects);
+        for (int t = 0; t < 100 && starts.empty() && m.state.open() > 0; ++t)
+            starts = of<StartAttempt>(m.wakeAt(m.now + 10 * kMs));
+    }
+    REQUIRE(!numbers.empty());
+    for (std::size_t i = 0; i < numbers.size(); ++i) CHECK(numbers[i] == int(i));
+    CHECK(numbers.size() <= 3);
+    CHECK(m.state.open() == 0);  // and it had its one final answer
+    const auto& c = m.state.counters();
+    CHECK(c.refused + c.failed == 1);
+}
+
+TEST_CASE("a time-out stops the attempt, and what comes later is dropped") {
+    Machine m;
+    m.take(1, 0, 300 * kMs);
+    const auto effects = m.wakeAt(m.now + 300 * kMs);
+    CHECK(of<StopAttempt>(effects).size() == 1);
+    CHECK(of<RefuseClient>(effects).size() + of<FailClient>(effects).size() == 1);
+    CHECK(m.state.open() == 0);
+    CHECK(m.state.counters().outcomes[std::size_t(Outcome::Timeout)] == 1);
+    // A late answer must not reach anybody.
+    CHECK(of<Deliver>(m.put(ended(1, 0, Outcome::Ok))).empty());
+    CHECK(m.state.counters().late == 1);
+}
+
+TEST_CASE("an unsafe request that may have run is neither resent nor refused") {
+    Machine m;
+    m.take(1, 2);
+    const auto effects = m.put(ended(1, 0, Outcome::Reset));
+    CHECK(of<StartAttempt>(effects).empty());
+    CHECK(of<RefuseClient>(effects).empty());
+    CHECK(of<FailClient>(effects).size() == 1);
+}
+
+TEST_CASE("a client that left is owed nothing; its attempt still ends") {
+    Machine m;
+    m.take(1);
+    m.put(ClientGone{1});
+    CHECK(m.state.open() == 0);
+    CHECK(m.state.counters().gone == 1);
+    CHECK(of<Deliver>(m.put(ended(1, 0, Outcome::Ok))).empty());
+    CHECK(m.state.counters().outcomes[std::size_t(Outcome::Ok)] == 1);
+    m.put(ClientGone{1});
+    CHECK(m.state.counters().gone == 1);
+}
+
+TEST_CASE("a broken stream is the end: its bytes are with the client") {
+    Machine m;
+    m.take(1);
+    m.put(Streaming{1, 0});
+    const auto effects = m.put(ended(1, 0, Outcome::Reset));
+    CHECK(of<FailClient>(effects).size() == 1);
+    CHECK(of<StartAttempt>(effects).empty());
+    CHECK(m.state.open() == 0);
+    CHECK(of<StartAttempt>(m.wakeAt(m.now + 500 * kMs)).empty());
+}
+
+TEST_CASE("the first byte may be written only well inside the grace of a drain") {
+    Machine m;
+    const auto start = of<StartAttempt>(m.take(1)).at(0);
+    CHECK(start.firstByteBy - m.now <= test::settings().drainGraceUs / 2);
+    CHECK(start.giveUpAt == m.now + 2'000 * kMs);
+}
+
+TEST_CASE("nothing new goes to a node that drains or is gone") {
+    for (const auto state : {NodeState::Draining, NodeState::Gone}) {
+        Machine m;
+        m.put(News{test::nodes({test::node("n0", 0, state)}, ListKind::Delta)});
+        CHECK(of<StartAttempt>(m.take(1)).empty());
+        for (int t = 0; t < 300; ++t) CHECK(of<StartAttempt>(m.wakeAt(m.now + 10 * kMs)).empty());
+        CHECK(m.state.open() == 0);  // and yet it was answered
+    }
+}
+
+TEST_CASE("the clock never falls for the module") {
+    Machine m;
+    m.now -= 5 * kMs;  // an input stamped earlier than the last
+    CHECK(of<StartAttempt>(m.take(1)).size() == 1);
+}
