--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t kMostHeader = 8 * 1024, kMostBody = 64 * 1024;
 // The answer's last byte must be with the client by its deadline: this much is kept for the way there.
 constexpr Micros kAnswerRoom = 3'000;
+constexpr std::chrono::seconds kPatience{
+    10};  // for a request to become whole, where another client needs the place
 
 }  // namespace
 
@@ -25,7 +27,11 @@
         : Session(door, std::move(socket)), front_(front) {
         next();
     }
-    bool idle() const override { return state_ == State::Reading && in_.size() == 0 && !parser_->got_some(); }
+    // A request that never gets whole holds its place only for a while.
+    bool idle() const override {
+        const bool begun = in_.size() > 0 || parser_->got_some();
+        return state_ == State::Reading && (!begun || std::chrono::steady_clock::now() - since_ > kPatience);
+    }
     void answer(int status, std::string_view fields, std::string_view body);
 
 protected:
@@ -36,6 +42,7 @@
         if (state_ == State::Waiting) front_.engine_.gone(id_);
     }
     void sent() override {
+        if (state_ != State::Answering) return;  // that was only "100 Continue"
         if (!keepAlive_) return linger();
         next();
         touch();
@@ -53,7 +60,8 @@
     Front& front_;
     std::optional<beast::http::request_parser<beast::http::string_body>> parser_;
     State state_ = State::Reading;
-    bool keepAlive_ = true;
+    bool keepAlive_ = true, toldToGoOn_ = false;
+    std::chrono::steady_clock::time_point since_;  // its last answer, or its start
     RequestId id_ = 0;
 };
 
@@ -91,6 +99,8 @@
 
 void Front::Client::next() {
     state_ = State::Reading;
+    toldToGoOn_ = false;
+    since_ = std::chrono::steady_clock::now();
     parser_.emplace();
     parser_->eager(true);
     parser_->header_limit(kMostHeader);
@@ -108,6 +118,11 @@
         }
         if (error) break;
         if (!parser_->is_header_done()) continue;
+        if (!toldToGoOn_ && !parser_->is_done() &&
+            beast::iequals(parser_->get()[field::expect], "100-continue")) {
+            toldToGoOn_ = true;
+            send("HTTP/1.1 100 Continue\r\n\r\n");
+        }
         const auto coding = parser_->get()[field::transfer_encoding];
         if (coding.empty() || beast::iequals(coding, "chunked")) continue;
         ++front_.counters_.unsupported;
@@ -131,6 +146,12 @@
     keepAlive_ = message->keep_alive();
     if (message->target() == "/up") return answer(200, "", "up\n");
     ++front_.counters_.requests;
+    const auto method = message->method();
+    if (method != beast::http::verb::get && method != beast::http::verb::put) {
+        ++front_.counters_.malformed;
+        keepAlive_ = keepAlive_ && method != beast::http::verb::head;  // a HEAD's answer should have no body
+        return answer(405, "Allow: GET, PUT\r\n", "method: a read is a GET, a write a PUT\n");
+    }
     auto read = readRequest(*message, front_.engine_.settings());
     if (const auto* bad = std::get_if<BadField>(&read)) {
         ++front_.counters_.malformed;
--- a/src/http/node_client.cpp
+++ b/src/http/node_client.cpp
@@ -5,7 +5,7 @@
 namespace wingproxy::http {
 namespace {
 
-constexpr std::size_t kMostAnswer = 256 * 1024;  // four times what the platform lets a body be
+constexpr std::size_t kMostAnswer = 128 * 1024;  // twice what the platform lets a body be
 constexpr std::chrono::milliseconds kProbeTimeout{250};
 
 }  // namespace
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,5 +1,6 @@
 // wingproxy: reads its configuration, wires the parts and runs them until SIGTERM.
 #include <fmt/format.h>
+#include <sys/resource.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -38,11 +39,18 @@
     std::size_t clients, nodes, rsyncClients, rsyncNodes;
 };
 
+// The configured number, or the system's where that is lower.
+int descriptors(int configured) {
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY) return configured;
+    return int(std::min<rlim_t>(rlim_t(configured), limit.rlim_cur));
+}
+
 class Program {
 public:
     Program(const config::Config& config, const config::Operator& extra, log::Logger& logger)
         : logger_(logger),
-          budget_(config.sockets, extra.rsync.has_value()),
+          budget_(descriptors(config.sockets), extra.rsync.has_value()),
           engine_(io_, config, logger),
           pool_(io_, {budget_.nodes, std::chrono::microseconds(config.connectTimeoutUs),
                       std::chrono::microseconds(config.connIdleUs / 2)}),
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -7,6 +7,7 @@
 
 constexpr std::chrono::milliseconds kWait{10'000};     // how long a watch may stay quiet
 constexpr std::chrono::milliseconds kPatience{2'500};  // and how much later its answer counts as failed
+constexpr std::chrono::milliseconds kAgain{500};       // after a failed call that the module does not hear of
 constexpr std::size_t kMostList = 4 * 1024 * 1024;
 
 }  // namespace
@@ -15,7 +16,10 @@
     : engine_(engine),
       at_(at),
       pool_(engine.io(), {2, std::chrono::seconds(1), std::chrono::seconds(10)}),
-      timeout_(engine.io()) {}
+      timeout_(engine.io()),
+      again_(engine.io()) {
+    if (!engine.settings().listOnRequest) watch(true);
+}
 
 void Discovery::watch(bool on) {
     on_ = on;
@@ -32,6 +36,7 @@
     if (exchange_) exchange_->abandon();
     exchange_ = nullptr;
     timeout_.cancel();
+    again_.cancel();
     pool_.clear();
 }
 
@@ -75,7 +80,7 @@
     if (on_) call();  // at once: a watch goes on within 200 ms
 }
 
-// The module hears of it and asks again when it wants to.
+// The module hears of it and asks again when it wants to; where lists come unasked it never asks.
 void Discovery::fail(const char* why) {
     ++counters_.failed;
     calling_ = false;
@@ -84,7 +89,11 @@
     exchange_ = nullptr;
     timeout_.cancel();
     engine_.logger().warn("discovery: call failed, {}", why);
-    engine_.lost();
+    if (engine_.settings().listOnRequest) return engine_.lost();
+    again_.expires_after(kAgain);
+    again_.async_wait([this](const boost::system::error_code& error) {
+        if (!error && on_ && !calling_) call();
+    });
 }
 
 }  // namespace wingproxy::net
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -27,7 +27,7 @@
     Engine& engine_;
     config::Endpoint at_;
     NodePool pool_;
-    boost::asio::steady_timer timeout_;
+    boost::asio::steady_timer timeout_, again_;
     std::shared_ptr<NodePool::Ticket> ticket_;
     std::shared_ptr<Exchange> exchange_;
     bool on_ = false, calling_ = false;
--- a/src/rsync/node_client.cpp
+++ b/src/rsync/node_client.cpp
@@ -42,6 +42,7 @@
     saying_ = out.size() > 0;
     if (!saying_) {
         asked_ = stage_ >= Stage::Arguments;
+        if (stage_ == Stage::Stream) toNode();
         return;
     }
     connection_->socket.async_write_some(
@@ -139,7 +140,7 @@
 
 void NodeAttempt::toNode() {
     const auto client = client_.lock();
-    if (over_ || writingNode_ || !client) return;
+    if (over_ || writingNode_ || saying_ || !client) return;  // the arguments go first
     auto& held = client->held();
     if (held.size() == 0) return finishIfWhole();
     Follower& fromClient = transfer_->options.pull ? static_cast<Follower&>(generator_) : sender_;
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -1,4 +1,5 @@
 // The platform's front on real sockets: one test a rule.
+#include "health/health.h"
 #include "net_support.h"
 
 using namespace wingproxy;
@@ -62,6 +63,23 @@
     CHECK(rig.engine.counters().taken == 0);
 }
 
+TEST_CASE("other methods, and a client that waits to be told to send its body") {
+    Rig rig;
+    const auto other = rig.client(), client = rig.client();
+    other->say("DELETE /api HTTP/1.1\r\n\r\n");
+    rig.until([&] { return other->has("405") && other->has("Allow: GET, PUT\r\n"); });
+    auto text = Ask{.kind = "alta", .body = "datos"}.text();
+    text.insert(text.find("Req-Id"), "Expect: 100-continue\r\n");
+    client->say(text.substr(0, text.size() - 5));
+    rig.until([&] { return client->has("HTTP/1.1 100 Continue\r\n\r\n"); });
+    CHECK(rig.node().wires.empty());
+    client->say("datos");
+    const auto node = rig.nodeHas("datos");
+    CHECK(!node->has("Expect"));
+    node->say(ok("hecho"));
+    rig.until([&] { return client->has("hecho"); });
+}
+
 TEST_CASE("the ready path, and a request in two pieces") {
     Rig rig;
     const auto client = rig.client();
@@ -272,3 +290,33 @@
     rig.peers.tell(1, std::string(257, 'b'));
     CHECK(rig.peers.counters().unsent == unsent + 1);
 }
+
+TEST_CASE("where the settings push the list, the front watches by itself and again after a failure") {
+    auto config = baseConfig();
+    config.settings.listOnRequest = false;
+    Rig rig(std::move(config));
+    rig.until([&] { return rig.discoveryServer.wires.size() == 1; });
+    rig.discoveryServer.wires[0]->reset();
+    rig.until([&] { return rig.discovery.counters().calls == 2 && rig.discoveryServer.wires.size() == 2; });
+    rig.tellState("s-0", "draining");
+}
+
+TEST_CASE("checks of balancers: the agent speaks first, the HTTP check answers and closes") {
+    Rig rig;
+    health::Report report{true, false, 0.5};
+    const auto ask = [&] { return report; };
+    const auto agent = health::agentDoor(rig.io, {"127.0.0.1", 0}, ask);
+    const auto http = health::httpDoor(rig.io, {"127.0.0.1", 0}, ask);
+    const auto up = rig.connect(agent->at()), ready = rig.connect(http->at());
+    ready->say("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+    rig.until([&] { return up->ended && ready->ended; });
+    CHECK(up->got == "ready up 50%\n");
+    CHECK(ready->has("HTTP/1.1 200 OK\r\n"));
+    report.draining = true;
+    const auto drain = rig.connect(agent->at()), not_ready = rig.connect(http->at());
+    not_ready->say("GET /ready HTTP/1.1\r\n\r\n");
+    rig.until([&] { return drain->ended && not_ready->ended; });
+    CHECK(drain->got == "drain\n");
+    CHECK(not_ready->has("HTTP/1.1 503 "));
+    for (auto* door : {agent.get(), http.get()}) door->closeListener(), door->stop();
+}
