Log a client's broken rsync stream at debug level, as operations.md says

Seen on reading the code against the page: the line came as a warning, one for each such transfer, src/rsync/node_client.cpp toNode().

--- a/src/rsync/node_client.cpp
+++ b/src/rsync/node_client.cpp
@@ -146,7 +146,7 @@
     Follower& fromClient = transfer_->options.pull ? static_cast<Follower&>(generator_) : sender_;
     const auto first = held.data()[0];
     if (fromClient.feed({static_cast<const char*>(first.data()), first.size()}) == Progress::Broken) {
-        engine_.logger().warn("rsync: a client's stream is broken, {}", fromClient.why());
+        engine_.logger().debug("rsync: a client's stream is broken, {}", fromClient.why());
         return end(Outcome::Reset);
     }
     writingNode_ = true;
