Give final answers in one place of the reducer and drop state that nobody reads

Seen on reading the whole change again: Refuse, Fail and the overdue guard repeated the same steps (now State::answer); the rsync attempt chose its two streams by direction in four places (now two references); Door::listening_, Listener::postponed_, RingBuffer::capacity and an attempt's stored time-out were read by nothing. Left as it is: the two node clients' alike start and their check of the first byte's time, which a shared base in src/net should hold.

--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -91,11 +91,8 @@
         } else if (!it->second.done && it->second.out.empty()) {
             // The module answers well before; this holds the rule should it ever not.
             ++counters_.overdue;
-            ++counters_.failed;
-            finish(it->second);
-            effects_.push_back(FailClient{alarm.what});
+            answer(alarm.what, counters_.failed, FailClient{alarm.what});
             tell(RequestGone{alarm.what});
-            forget(it);
         }
     }
 }
@@ -168,33 +165,27 @@
     }
     Live& live = it->second;
     ++counters_.attempts;
-    Attempt out{a.node, now_, live.deadlineUs};
-    if (a.timeoutUs != 0) out.giveUpAt = std::min(out.giveUpAt, now_ + std::max<Micros>(0, a.timeoutUs));
+    Micros giveUpAt = live.deadlineUs;
+    if (a.timeoutUs != 0) giveUpAt = std::min(giveUpAt, now_ + std::max<Micros>(0, a.timeoutUs));
     Micros firstByte = limits_.connectUs;
     if (settings_.drainGraceUs > 0)
         firstByte = std::min(firstByte, Micros(kGracePart * double(settings_.drainGraceUs)));
-    effects_.push_back(StartAttempt{a.id, attempt, a.node, now_ + firstByte, out.giveUpAt});
-    alarms_.insert({out.giveUpAt, Due::AttemptTimeout, a.id, attempt});
-    live.out.emplace(attempt, std::move(out));
+    effects_.push_back(StartAttempt{a.id, attempt, a.node, now_ + firstByte, giveUpAt});
+    alarms_.insert({giveUpAt, Due::AttemptTimeout, a.id, attempt});
+    live.out.emplace(attempt, Attempt{a.node, now_});
 }
 
-void State::act(const Refuse& a) {
-    const auto it = requests_.find(a.id);
+void State::answer(RequestId id, std::uint64_t& counter, Effect effect) {
+    const auto it = requests_.find(id);
     if (it == requests_.end() || it->second.done) return;
-    ++counters_.refused;
+    ++counter;
     finish(it->second);
-    effects_.push_back(RefuseClient{a.id, a.retryAfterUs});
+    effects_.push_back(std::move(effect));
     forget(it);
 }
 
-void State::act(const Fail& a) {
-    const auto it = requests_.find(a.id);
-    if (it == requests_.end() || it->second.done) return;
-    ++counters_.failed;
-    finish(it->second);
-    effects_.push_back(FailClient{a.id});
-    forget(it);
-}
+void State::act(const Refuse& a) { answer(a.id, counters_.refused, RefuseClient{a.id, a.retryAfterUs}); }
+void State::act(const Fail& a) { answer(a.id, counters_.failed, FailClient{a.id}); }
 
 void State::act(const Cancel& a) {
     const auto it = requests_.find(a.id);
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -113,7 +113,7 @@
     friend Effects reduce(State& state, Micros now, Input input);
     struct Attempt {
         std::string node;
-        Micros startedAt = 0, giveUpAt = 0;
+        Micros startedAt = 0;
     };
     struct Live {
         Micros deadlineUs = 0;
@@ -151,6 +151,7 @@
     void act(const Note& a);
     void tell(const Event& event);
     void endAttempt(Requests::iterator it, int attempt, Ended how);
+    void answer(RequestId id, std::uint64_t& counter, Effect effect);  // final, unless there was one
     void finish(Live& live);
     void forget(Requests::iterator it);
     bool sendable(const Live& live, const std::string& node) const;
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -45,7 +45,6 @@
 }
 
 void Listener::later() {
-    ++postponed_;
     pause_.expires_after(kPause);
     pause_.async_wait([this](const boost::system::error_code& error) {
         if (!error && acceptor_.is_open()) accept();
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -19,7 +19,6 @@
     Listener(boost::asio::io_context& io, const config::Endpoint& at, Hooks hooks);
     void close();                 // takes what the system has accepted, then closes
     config::Endpoint at() const;  // as bound
-    std::uint64_t postponed() const { return postponed_; }
 
 private:
     void accept();
@@ -28,7 +27,6 @@
     boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::steady_timer pause_;
     Hooks hooks_;
-    std::uint64_t postponed_ = 0;
 };
 
 }  // namespace wingproxy::net
--- a/src/net/ring_buffer.h
+++ b/src/net/ring_buffer.h
@@ -14,7 +14,6 @@
 class RingBuffer {
 public:
     explicit RingBuffer(std::size_t capacity) : bytes_(new char[capacity]), capacity_(capacity) {}
-    std::size_t capacity() const { return capacity_; }
     std::size_t size() const { return size_; }
     std::size_t space() const { return capacity_ - size_; }
     void clear() { consume(size_); }
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -109,10 +109,7 @@
     return false;
 }
 
-void Door::closeListener() {
-    listening_ = false;
-    listener_.close();
-}
+void Door::closeListener() { listener_.close(); }
 
 void Door::closeIdle() {
     while (closeOldestIdle()) {}
--- a/src/net/session.h
+++ b/src/net/session.h
@@ -55,7 +55,6 @@
     void closeListener();  // first takes the clients that wait
     void closeIdle();
     void stop();
-    bool listening() const { return listening_; }
     std::size_t connections() const { return sessions_.size(); }
     std::uint64_t accepted() const { return accepted_; }
     std::uint64_t closedIdle() const { return closedIdle_; }
@@ -68,7 +67,6 @@
     bool closeOldestIdle();
     boost::asio::io_context& io_;
     std::size_t most_;
-    bool listening_ = true;
     std::uint64_t accepted_ = 0, closedIdle_ = 0;
     std::list<std::shared_ptr<Session>> sessions_;  // the longest untouched first
     Listener listener_;
--- a/src/rsync/node_client.cpp
+++ b/src/rsync/node_client.cpp
@@ -13,7 +13,9 @@
       client_(std::move(client)),
       sender_(transfer_->options, transfer_->options.pull),
       generator_(transfer_->options.pull),
-      fromNode_(transfer_->options.pull ? static_cast<Follower&>(sender_) : generator_) {}
+      fromNode_(transfer_->options.pull ? static_cast<Follower&>(sender_) : generator_),
+      fromClient_(transfer_->options.pull ? static_cast<Follower&>(generator_) : sender_),
+      frames_(fromNode_) {}
 
 void NodeAttempt::start() {
     ticket_ =
@@ -114,8 +116,8 @@
 // Bytes are followed before they are passed on: what does not fit the protocol never reaches the client.
 void NodeAttempt::stream(std::size_t newest) {
     for (const auto& part : connection_->in.newest(newest))
-        if (fromNode_.feed(part) == Progress::Broken) {
-            engine_.logger().warn("rsync: a node's stream is broken, {}", fromNode_.why());
+        if (frames_.feed(part) == Progress::Broken) {
+            engine_.logger().warn("rsync: a node's stream is broken, {}", frames_.why());
             return end(Outcome::Reset);
         }
     toClient();
@@ -143,10 +145,9 @@
     if (over_ || writingNode_ || saying_ || !client) return;  // the arguments go first
     auto& held = client->held();
     if (held.size() == 0) return finishIfWhole();
-    Follower& fromClient = transfer_->options.pull ? static_cast<Follower&>(generator_) : sender_;
     const auto first = held.data()[0];
-    if (fromClient.feed({static_cast<const char*>(first.data()), first.size()}) == Progress::Broken) {
-        engine_.logger().debug("rsync: a client's stream is broken, {}", fromClient.why());
+    if (fromClient_.feed({static_cast<const char*>(first.data()), first.size()}) == Progress::Broken) {
+        engine_.logger().debug("rsync: a client's stream is broken, {}", fromClient_.why());
         return end(Outcome::Reset);
     }
     writingNode_ = true;
@@ -169,21 +170,17 @@
         if (nodeEnded_) end(asked_ ? Outcome::Reset : Outcome::ConnectFailed);
         return;
     }
-    const bool pull = transfer_->options.pull;
-    const Follower& fromClient = pull ? static_cast<const Follower&>(generator_) : sender_;
     if (delivered()) {
         // A puller's goodbye goes on to the node, unless the node has closed already.
-        if (fromClient.progress() == Progress::Done && !writingNode_) end(Outcome::Ok);
-        else if (nodeEnded_) end(pull ? Outcome::Ok : Outcome::Reset);
+        if (fromClient_.progress() == Progress::Done && !writingNode_) end(Outcome::Ok);
+        else if (nodeEnded_) end(transfer_->options.pull ? Outcome::Ok : Outcome::Reset);
     } else if (nodeEnded_ && !writingClient_ && connection_->in.size() == 0) {
         end(Outcome::Reset);
     }
 }
 
 bool NodeAttempt::delivered() const {
-    const bool pull = transfer_->options.pull;
-    const Follower& fromNode = pull ? static_cast<const Follower&>(sender_) : generator_;
-    return !over_ && stage_ == Stage::Stream && fromNode.progress() == Progress::Done && !writingClient_ &&
+    return !over_ && stage_ == Stage::Stream && fromNode_.progress() == Progress::Done && !writingClient_ &&
            connection_->in.size() == 0;
 }
 
--- a/src/rsync/node_client.h
+++ b/src/rsync/node_client.h
@@ -60,7 +60,8 @@
     Stage stage_ = Stage::Greeting;
     SenderStream sender_;
     GeneratorStream generator_;
-    MuxStream fromNode_;  // around one of the two; the other is the client's
+    Follower &fromNode_, &fromClient_;  // the one and the other, by direction
+    MuxStream frames_;                  // around the node's
     std::string unsaid_;
     bool asked_ = false;  // the arguments' last byte was written: it may run
     bool saying_ = false, reading_ = false, writingClient_ = false, writingNode_ = false, nodeEnded_ = false;
