--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -102,7 +102,6 @@
     toldToGoOn_ = false;
     since_ = std::chrono::steady_clock::now();
     parser_.emplace();
-    parser_->eager(true);
     parser_->header_limit(kMostHeader);
     parser_->body_limit(kMostBody);
 }
@@ -110,6 +109,8 @@
 void Front::Client::parse() {
     boost::system::error_code error;
     while (in_.size() > 0 && !parser_->is_done()) {
+        // An eager parser loses the error of a length over the limit where the body's first bytes are there.
+        parser_->eager(parser_->is_header_done());
         const auto used = parser_->put(in_.data(), error);
         in_.consume(used);
         if (error == beast::http::error::need_more) {
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -6,7 +6,6 @@
 Exchange::Exchange(std::shared_ptr<Connection> connection, std::string request, std::size_t bodyLimit,
                    Done done)
     : connection_(std::move(connection)), request_(std::move(request)), done_(std::move(done)) {
-    parser_.eager(true);
     parser_.body_limit(bodyLimit);
 }
 
@@ -43,6 +42,8 @@
     auto& in = connection_->in;
     boost::system::error_code error;
     while (in.size() > 0 && !parser_.is_done()) {
+        // An eager parser loses the error of a length over the limit where the body's first bytes are there.
+        parser_.eager(parser_.is_header_done());
         const auto used = parser_.put(in.data(), error);
         in.consume(used);
         if (error == http::error::need_more) {
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -48,6 +48,8 @@
         {"GET /api HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", "400", "", true},
         {"GET /api HTTP/1.1\r\nX: " + std::string(9000, 'a') + "\r\n\r\n", "431", "", true},
         {"PUT /api HTTP/1.1\r\nContent-Length: 70000\r\n\r\n", "413", "", true},
+        // With the first bytes of the body right behind the head: the length alone is enough.
+        {"PUT /api HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n" + std::string(1000, 'a'), "413", "", true},
         {"PUT /api HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n", "501", "Transfer-Encoding", true},
     };
     Rig rig;
@@ -112,6 +114,19 @@
     CHECK(rig.outcomes(Outcome::ConnectFailed) == 0);
 }
 
+// One such answer once filled the front's memory in under a second.
+TEST_CASE("an answer said to hold 3 GB is a reset as soon as its head is read") {
+    Rig rig;
+    const auto client = rig.client();
+    client->say(Ask{}.text());
+    const auto node = rig.nodeHas("Req-Id");
+    node->say("HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\n" + std::string(2000, 'x'));
+    rig.until([&] { return node->ended && rig.node().wires.size() == 2; });
+    rig.node().wires[1]->say(ok("bien"));
+    rig.until([&] { return client->has("bien"); });
+    CHECK(rig.outcomes(Outcome::Reset) == 1);
+}
+
 TEST_CASE("a node that refuses connections never ran the request") {
     Rig rig;
     rig.node().acceptor.close();
