--- a/include/wingproxy/policy.h
+++ b/include/wingproxy/policy.h
@@ -29,12 +29,14 @@
     Effect effect = Effect::Idempotent;
     Scope scope = Scope::All;
     bool stream = false, fifoByKey = false, writes = false;
+    bool operator==(const ClassInfo&) const = default;
 };
 
 struct PlanInfo {
     std::string name;
     double rate = 0, reserve = 0, weight = 1, factor = 1;   // units a second, for one volume
     double limit = 0, limitBurst = 0, limitSlack = 0;       // limit 0: none
+    bool operator==(const PlanInfo&) const = default;
 };
 
 struct Settings {
@@ -61,6 +63,7 @@
     Micros meterUs = 0;
     int cells = 0;
     Micros roundUs = 0;
+    bool operator==(const Settings&) const = default;
 };
 
 struct NodeInfo {
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -190,6 +190,22 @@
     return c;
 }
 
+std::string needRestart(const Config& running, const Config& fresh) {
+    std::string fields;
+    const auto note = [&](bool same, std::string_view field) {
+        if (!same) fields += fmt::format("{}{}", fields.empty() ? "" : ", ", field);
+    };
+    auto settings = fresh.settings;
+    settings.seed = running.settings.seed;  // new in each file
+    note(running.name == fresh.name, "name");
+    note(running.listen == fresh.listen, "listen");
+    note(running.peerListen == fresh.peerListen, "peer_listen");
+    note(running.settings == settings && running.connectTimeoutUs == fresh.connectTimeoutUs &&
+             running.connIdleUs == fresh.connIdleUs,
+         "settings");
+    return fields;
+}
+
 std::string readFile(const std::string& path) {
     std::ifstream in(path, std::ios::binary);
     std::ostringstream text;
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -41,6 +41,8 @@
     Micros connectTimeoutUs = 250'000, connIdleUs = 30'000'000;
 };
 Config parseConfig(std::string_view json);
+// The fields in which two configurations differ and that a running program does not take over.
+std::string needRestart(const Config& running, const Config& fresh);
 std::string readFile(const std::string& path);
 
 }  // namespace wingproxy::config
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -27,9 +27,17 @@
 constexpr int kMostLooks = 50;       // at connections that owe and are owed no answer
 constexpr int kOwnDescriptors = 48;  // standard streams, listeners, checks, discovery
 
+// The configured number, or the system's where that is lower.
+int descriptors(int configured) {
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY) return configured;
+    return int(std::min<rlim_t>(rlim_t(configured), limit.rlim_cur));
+}
+
 // How the descriptors are dealt out: three parts of five to clients; the rsync front's are a quarter of all.
 struct Budget {
-    Budget(int sockets, bool withRsync) {
+    Budget(int configured, bool withRsync) {
+        const auto sockets = descriptors(configured);
         const auto all = std::size_t(std::max(10, sockets - kOwnDescriptors));
         rsyncClients = withRsync ? all * 3 / 20 : 0;
         rsyncNodes = withRsync ? all / 10 : 0;
@@ -39,18 +47,14 @@
     std::size_t clients, nodes, rsyncClients, rsyncNodes;
 };
 
-// The configured number, or the system's where that is lower.
-int descriptors(int configured) {
-    rlimit limit{};
-    if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY) return configured;
-    return int(std::min<rlim_t>(rlim_t(configured), limit.rlim_cur));
-}
-
 class Program {
 public:
-    Program(const config::Config& config, const config::Operator& extra, log::Logger& logger)
-        : logger_(logger),
-          budget_(descriptors(config.sockets), extra.rsync.has_value()),
+    Program(std::string path, const config::Config& config, const config::Operator& extra,
+            log::Logger& logger)
+        : path_(std::move(path)),
+          config_(config),
+          logger_(logger),
+          budget_(config.sockets, extra.rsync.has_value()),
           engine_(io_, config, logger),
           pool_(io_, {budget_.nodes, std::chrono::microseconds(config.connectTimeoutUs),
                       std::chrono::microseconds(config.connIdleUs / 2)}),
@@ -61,6 +65,7 @@
           front_(engine_, pool_, config.listen, budget_.clients),
           signals_(io_, SIGTERM, SIGINT, SIGUSR1),
           closing_(io_) {
+        signals_.add(SIGHUP);
         engine_.connect({[this](int to, const std::string& bytes) { peers_.tell(to, bytes); },
                          [this](bool on) { discovery_.watch(on); },
                          [this](const std::string& id, const config::Endpoint& at) {
@@ -95,10 +100,32 @@
         signals_.async_wait([this](const boost::system::error_code& error, int signal) {
             if (error) return;
             if (signal == SIGUSR1) report();
+            else if (signal == SIGHUP) reload();
             else if (!leaving_) leave();
             awaitSignal();
         });
     }
+    // The file is read and checked whole before any of it is used. Requests that are open notice nothing.
+    void reload() {
+        try {
+            auto fresh = config::parseConfig(config::readFile(path_));
+            discovery_.move(fresh.discovery);
+            peers_.know(fresh);
+            budget_ = Budget(fresh.sockets, rsync_ != nullptr);
+            front_.door().allow(budget_.clients);
+            pool_.allow(budget_.nodes);
+            if (rsync_) rsync_->door().allow(budget_.rsyncClients);
+            rsyncPool_.allow(budget_.rsyncNodes);
+            const auto late = config::needRestart(config_, fresh);
+            ++reloads_;
+            logger_.info("reloaded: discovery at {}:{}, {} peers, {} descriptors{}{}", fresh.discovery.host,
+                         fresh.discovery.port, fresh.peers.size(), fresh.sockets,
+                         late.empty() ? "" : "; only a restart changes ", late);
+        } catch (const std::exception& error) {
+            ++badReloads_;
+            logger_.error("reload: {}; the old values stay", error.what());
+        }
+    }
     void leave() {
         leaving_ = true;
         logger_.info("stopping: {} requests open", engine_.open());
@@ -165,10 +192,13 @@
                      pool_.reused());
         logger_.info("counters discovery: calls={} answers={} failed={} malformed={}", d.calls, d.answers,
                      d.failed, d.malformed);
+        logger_.info("counters reloads: done={} bad={}", reloads_, badReloads_);
         logger_.info("counters peers: sent={} received={} unsent={} unknown={} oversize={}", p.sent,
                      p.received, p.unsent, p.unknown, p.oversize);
     }
 
+    std::string path_;
+    config::Config config_;  // as at the start
     log::Logger& logger_;
     Budget budget_;
     asio::io_context io_{1};
@@ -183,6 +213,7 @@
     asio::steady_timer closing_;
     bool leaving_ = false;
     int looks_ = 0;
+    std::uint64_t reloads_ = 0, badReloads_ = 0;
 };
 
 }  // namespace
@@ -198,7 +229,7 @@
         config::Operator extra;
         if (const char* file = std::getenv("WINGPROXY_OPERATOR"))
             extra = config::parseOperator(config::readFile(file), config.settings);
-        Program(config, extra, logger).run();
+        Program(path, config, extra, logger).run();
     } catch (const std::exception& error) {
         logger.error("{}", error.what());
         return 2;
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -5,9 +5,10 @@
 namespace wingproxy::net {
 namespace {
 
-constexpr std::chrono::milliseconds kWait{10'000};     // how long a watch may stay quiet
-constexpr std::chrono::milliseconds kPatience{2'500};  // and how much later its answer counts as failed
-constexpr std::chrono::milliseconds kAgain{500};       // after a failed call that the module does not hear of
+constexpr std::chrono::milliseconds kWait{10'000};          // how long a watch may stay quiet
+constexpr std::chrono::milliseconds kPatience{2'500};       // and how much later its answer counts as failed
+constexpr std::chrono::milliseconds kWholePatience{1'500};  // for a call that does not wait
+constexpr std::chrono::milliseconds kAgain{500};  // after a failed call that the module does not hear of
 constexpr std::size_t kMostList = 4 * 1024 * 1024;
 
 }  // namespace
@@ -24,26 +25,40 @@
 void Discovery::watch(bool on) {
     on_ = on;
     if (!on) {
-        stop();
+        abandon();
     } else if (!calling_) {
         call();
     }
 }
 
-void Discovery::stop() {
-    on_ = calling_ = false;
+void Discovery::move(const config::Endpoint& to) {
+    if (to == at_) return;
+    abandon();
+    pool_.forget(at_);
+    at_ = to;
+    whole_ = true;  // its generations may not be the old one's
+    if (on_) call();
+}
+
+void Discovery::abandon() {
+    calling_ = false;
     ticket_ = nullptr;
     if (exchange_) exchange_->abandon();
     exchange_ = nullptr;
     timeout_.cancel();
     again_.cancel();
+}
+
+void Discovery::stop() {
+    on_ = false;
+    abandon();
     pool_.clear();
 }
 
 void Discovery::call() {
     calling_ = true;
     ++counters_.calls;
-    timeout_.expires_after(kWait + kPatience);
+    timeout_.expires_after(whole_ ? kWholePatience : kWait + kPatience);
     timeout_.async_wait([this](const boost::system::error_code& error) {
         if (!error && calling_) fail("no answer in time");
     });
@@ -54,10 +69,11 @@
 }
 
 void Discovery::send(std::shared_ptr<Connection> connection) {
-    auto request = fmt::format(
-        "GET /discovery/hosts?after={}&wait_ms={} HTTP/1.1\r\nHost: {}:{}\r\nAccept: "
-        "application/json\r\n\r\n",
-        engine_.listVersion(), kWait.count(), at_.host, at_.port);
+    const auto query =
+        whole_ ? "" : fmt::format("?after={}&wait_ms={}", engine_.listVersion(), kWait.count());
+    auto request =
+        fmt::format("GET /discovery/hosts{} HTTP/1.1\r\nHost: {}:{}\r\nAccept: application/json\r\n\r\n",
+                    query, at_.host, at_.port);
     exchange_ = std::make_shared<Exchange>(
         std::move(connection), std::move(request), kMostList,
         [this](Exchange::Result result, const Exchange::Response& response) { answered(result, response); });
@@ -77,17 +93,14 @@
         return fail("a malformed list");
     }
     ++counters_.answers;
+    whole_ = false;
     if (on_) call();  // at once: a watch goes on within 200 ms
 }
 
 // The module hears of it and asks again when it wants to; where lists come unasked it never asks.
 void Discovery::fail(const char* why) {
     ++counters_.failed;
-    calling_ = false;
-    ticket_ = nullptr;
-    if (exchange_) exchange_->abandon();
-    exchange_ = nullptr;
-    timeout_.cancel();
+    abandon();
     engine_.logger().warn("discovery: call failed, {}", why);
     if (engine_.settings().listOnRequest) return engine_.lost();
     again_.expires_after(kAgain);
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -15,11 +15,14 @@
     };
     Discovery(Engine& engine, const config::Endpoint& at);
     void watch(bool on);  // as the module asks; a running watch goes on
+    // To another address at once: the call under way is abandoned and the whole list asked for there.
+    void move(const config::Endpoint& to);
     void stop();
     const Counters& counters() const { return counters_; }
 
 private:
     void call();
+    void abandon();  // the call under way; says nothing
     void send(std::shared_ptr<Connection> connection);
     void answered(Exchange::Result result, const Exchange::Response& response);
     void fail(const char* why);
@@ -31,6 +34,7 @@
     std::shared_ptr<NodePool::Ticket> ticket_;
     std::shared_ptr<Exchange> exchange_;
     bool on_ = false, calling_ = false;
+    bool whole_ = false;  // the next call asks for the whole list, and does not wait
     Counters counters_;
 };
 
--- a/src/net/node_pool.h
+++ b/src/net/node_pool.h
@@ -38,8 +38,10 @@
 
     NodePool(boost::asio::io_context& io, Limits limits);
     std::shared_ptr<Ticket> acquire(const config::Endpoint& to, Ready ready);
-    void release(std::shared_ptr<Connection> connection);  // whole, nothing unread: may serve again
-    void clear();                                          // closes what is idle; later releases close too
+    void release(std::shared_ptr<Connection> connection);         // whole, nothing unread: may serve again
+    void forget(const config::Endpoint& to) { idle_.erase(to); }  // closes what is idle there
+    void clear();  // closes what is idle; later releases close too
+    void allow(std::size_t most) { limits_.most = most; }
     std::size_t open() const { return *open_; }
     std::uint64_t opened() const { return opened_; }
     std::uint64_t reused() const { return reused_; }
--- a/src/net/peers.cpp
+++ b/src/net/peers.cpp
@@ -12,11 +12,8 @@
 }  // namespace
 
 Peers::Peers(Engine& engine, const config::Config& config)
-    : engine_(engine), socket_(engine.io()), all_(udpEndpoint(config.peersAll)), self_(config.settings.host) {
-    for (const auto& peer : config.peers) {
-        numbers_.emplace(udpEndpoint(peer), int(peers_.size()));
-        peers_.push_back(udpEndpoint(peer));
-    }
+    : engine_(engine), socket_(engine.io()), self_(config.settings.host) {
+    know(config);
     if (config.peerListen.port == 0) return;
     socket_.open(udp::v4());
     socket_.bind(udpEndpoint(config.peerListen));
@@ -24,6 +21,16 @@
     receive();
 }
 
+void Peers::know(const config::Config& config) {
+    all_ = udpEndpoint(config.peersAll);
+    numbers_.clear();
+    peers_.clear();
+    for (const auto& peer : config.peers) {
+        numbers_.emplace(udpEndpoint(peer), int(peers_.size()));
+        peers_.push_back(udpEndpoint(peer));
+    }
+}
+
 void Peers::tell(int to, const std::string& bytes) {
     if (!socket_.is_open()) return;
     const bool known = to < 0 || std::size_t(to) < peers_.size();
--- a/src/net/peers.h
+++ b/src/net/peers.h
@@ -17,6 +17,7 @@
         std::uint64_t sent = 0, received = 0, unsent = 0, unknown = 0, oversize = 0;
     };
     Peers(Engine& engine, const config::Config& config);
+    void know(const config::Config& config);  // the peers' addresses, at the start and anew
     void tell(int to, const std::string& bytes);
     void stop();
     const Counters& counters() const { return counters_; }
--- a/src/net/session.h
+++ b/src/net/session.h
@@ -59,6 +59,7 @@
     std::uint64_t accepted() const { return accepted_; }
     std::uint64_t closedIdle() const { return closedIdle_; }
     std::size_t most() const { return most_; }
+    void allow(std::size_t most) { most_ = most; }
     config::Endpoint at() const { return at_; }
     boost::asio::io_context& io() { return io_; }
 
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -274,6 +274,30 @@
     CHECK(rig.engine.listVersion() == 2);
 }
 
+// After SIGHUP the old address takes no more calls; what the new one has to tell counts soon.
+TEST_CASE(
+    "discovery moves: the old call is abandoned, the new address asked for all, nodes and requests stay") {
+    Rig rig;
+    rig.until(
+        [&] { return !rig.discoveryServer.wires.empty() && rig.discoveryServer.wires[0]->has("after="); });
+    const auto client = rig.client(), other = rig.client();
+    client->say(Ask{}.text());
+    const auto node = rig.nodeHas("Req-Id");
+    StandIn next(rig.io);
+    rig.discovery.move(next.at());
+    rig.until([&] { return rig.discoveryServer.wires[0]->ended && next.wires.size() == 1; });
+    rig.until([&] { return next.wires[0]->has("GET /discovery/hosts HTTP/1.1\r\n"); });
+    CHECK(rig.discovery.counters().failed == 0);
+    node->say(ok("de antes")), other->say(Ask{.id = "00000000000000b2"}.text());  // by the list it has
+    rig.nodeHas("00000000000000b2")->say(ok("con la lista vieja"));
+    rig.until([&] { return client->has("de antes") && other->has("con la lista vieja"); });
+    next.wires[0]->drop();
+    next.wires[0]->say(ok(R"({"generation":7,"reset":true,"instances":[]})"));
+    rig.until([&] { return next.wires[0]->has("after=7&wait_ms="); });
+    CHECK(rig.engine.listVersion() == 7);
+    CHECK(rig.discoveryServer.wires.size() == 1);
+}
+
 TEST_CASE("datagrams: only from the peers, only of up to 256 bytes") {
     auto config = baseConfig();
     asio::io_context probeIo;
--- a/tests/start_front.sh
+++ b/tests/start_front.sh
@@ -25,7 +25,8 @@
     exec 3>&-
 }
 
-(ulimit -n 70 && PROXY_CONFIG="$config" exec "$front_binary") 2>"$folder/log" &
+cp "$config" "$folder/config.json"
+(ulimit -n 70 && PROXY_CONFIG="$folder/config.json" exec "$front_binary") 2>"$folder/log" &
 front=$!
 await 'listens on'
 port=$(sed -n 's/.*n0 listens on 127.0.0.1:\([0-9]*\).*/\1/p' "$folder/log")
@@ -41,6 +42,14 @@
 up
 kill -USR1 "$front"
 await 'counters requests: taken=0'
+# SIGHUP: the file is read again; a bad one changes nothing and is one line.
+sed 's/"discovery":"127.0.0.1:1"/"discovery":"127.0.0.1:2"/; s/"n0"/"n9"/' "$config" >"$folder/config.json"
+kill -HUP "$front"
+await 'reloaded: discovery at 127.0.0.1:2, 0 peers, 1024 descriptors; only a restart changes name$'
+echo '{"name":"n0"}' >"$folder/config.json"
+kill -HUP "$front"
+await 'error: reload: listen: missing; the old values stay'
+up
 kill -TERM "$front"
 wait "$front"
 await 'stopped'
