--- a/src/http/platform.cpp
+++ b/src/http/platform.cpp
@@ -148,9 +148,9 @@
     else ended.outcome = Outcome::Error;
     // The simulator's figure is one more than the header's, so that 0 means none.
     double number = 0;
-    if (parse(trim(sv(answer["Volume-Load"])), number)) ended.usePercent = number + 1;
+    if (parse(trim(sv(answer["Volume-Load"])), number) && number >= 0) ended.usePercent = number + 1;
     number = 0;
-    if (parse(trim(sv(answer["Other-Hosts"])), number)) ended.elsewhere = number;
+    if (parse(trim(sv(answer["Other-Hosts"])), number) && number >= 0) ended.elsewhere = number;
     ended.report = readLoad(sv(answer["Srv-Load"]), settings);
     return ended;
 }
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -2,11 +2,28 @@
 
 namespace wingproxy::net {
 namespace http = boost::beast::http;
+namespace {
+
+// An answer that has begun goes on within this time or has broken: what claims more than it brings would else
+// hold its request until the deadline. Long against a lost packet that is sent again.
+constexpr std::chrono::milliseconds kStall{250};
+constexpr int kMostInterim = 8;
+
+}  // namespace
 
 Exchange::Exchange(std::shared_ptr<Connection> connection, std::string request, std::size_t bodyLimit,
                    Done done)
-    : connection_(std::move(connection)), request_(std::move(request)), done_(std::move(done)) {
-    parser_.body_limit(bodyLimit);
+    : connection_(std::move(connection)),
+      request_(std::move(request)),
+      done_(std::move(done)),
+      bodyLimit_(bodyLimit),
+      stall_(connection_->socket.get_executor()) {
+    next();
+}
+
+void Exchange::next() {
+    parser_.emplace();
+    parser_->body_limit(bodyLimit_);
 }
 
 void Exchange::start() { write(); }
@@ -33,6 +50,7 @@
         [self = shared_from_this()](const boost::system::error_code& error, std::size_t n) {
             if (!self->done_) return;
             self->connection_->in.commit(n);
+            self->stall_.cancel();
             if (error && error != boost::asio::error::eof) self->finish(Result::Broken);
             else self->parse(bool(error));
         });
@@ -41,10 +59,10 @@
 void Exchange::parse(bool ended) {
     auto& in = connection_->in;
     boost::system::error_code error;
-    while (in.size() > 0 && !parser_.is_done()) {
+    while (in.size() > 0 && !parser_->is_done()) {
         // An eager parser loses the error of a length over the limit where the body's first bytes are there.
-        parser_.eager(parser_.is_header_done());
-        const auto used = parser_.put(in.data(), error);
+        parser_->eager(parser_->is_header_done());
+        const auto used = parser_->put(in.data(), error);
         in.consume(used);
         if (error == http::error::need_more) {
             if (in.space() == 0) break;  // a header that no ring can hold
@@ -52,28 +70,44 @@
             if (used == 0) break;
         }
         if (error) break;
+        if (!parser_->is_done()) continue;
+        const auto status = parser_->get().result_int();
+        if (status / 100 == 1 && status != 101 && interim_++ < kMostInterim) next();
     }
-    if (!error && ended && !parser_.is_done() && parser_.got_some()) parser_.put_eof(error);
-    if (parser_.is_done()) {
-        reusable_ = !ended && !error && parser_.get().keep_alive() && in.size() == 0;
+    // Only a node that says so ends its answer by closing: here any other is an answer that lost its length.
+    const bool toTheEnd = !error && parser_->is_header_done() && !parser_->is_done() && parser_->need_eof();
+    if (toTheEnd && parser_->get().keep_alive()) error = http::error::partial_message;
+    if (!error && ended && !parser_->is_done() && parser_->got_some()) parser_->put_eof(error);
+    if (!error && parser_->is_done()) {
+        reusable_ = !ended && parser_->get().keep_alive() && in.size() == 0;
         finish(Result::Answered);
     } else if (error || ended || in.space() == 0) {
         finish(Result::Broken);
     } else {
+        awaitMore();
         read();
     }
 }
 
+void Exchange::awaitMore() {
+    stall_.expires_after(kStall);
+    stall_.async_wait([self = shared_from_this()](const boost::system::error_code& stopped) {
+        if (!stopped && self->done_) self->finish(Result::Broken);
+    });
+}
+
 void Exchange::finish(Result result) {
     const auto done = std::exchange(done_, nullptr);
+    stall_.cancel();
     boost::system::error_code ignored;
     if (!reusable_) connection_->socket.close(ignored);
-    done(result, result == Result::Answered ? parser_.release() : Response{});
+    done(result, result == Result::Answered ? parser_->release() : Response{});
 }
 
 void Exchange::abandon() {
     if (!done_) return;
     done_ = nullptr;
+    stall_.cancel();
     boost::system::error_code ignored;
     connection_->socket.close(ignored);
 }
--- a/src/net/exchange.h
+++ b/src/net/exchange.h
@@ -27,13 +27,18 @@
     void write();
     void read();
     void parse(bool ended);
+    void next();  // another head: after an interim one, or the first
+    void awaitMore();
     void finish(Result result);
 
     std::shared_ptr<Connection> connection_;
     std::string request_;
     std::size_t put_ = 0;  // bytes of the request handed to the ring
     Done done_;
-    boost::beast::http::response_parser<boost::beast::http::string_body> parser_;
+    std::size_t bodyLimit_;
+    std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser_;
+    boost::asio::steady_timer stall_;
+    int interim_ = 0;  // heads with 1xx so far
     bool reusable_ = false;
 };
 
--- a/src/net/node_pool.cpp
+++ b/src/net/node_pool.cpp
@@ -57,19 +57,26 @@
     asio::steady_timer timer_;
 };
 
-// Reports on the next turn of the loop, so that acquire() never calls back from inside.
+// Reports on the next turn of the loop, so that acquire() never calls back from inside. Bytes that came
+// meanwhile belong to an earlier answer: then another connection is used.
 class Posted : public NodePool::Ticket, public std::enable_shared_from_this<Posted> {
 public:
-    Posted(std::shared_ptr<Connection> connection, NodePool::Ready ready)
-        : connection_(std::move(connection)), ready_(std::move(ready)) {}
+    Posted(NodePool& pool, std::shared_ptr<Connection> connection, NodePool::Ready ready)
+        : pool_(pool), connection_(std::move(connection)), ready_(std::move(ready)) {}
     void start(asio::io_context& io) {
         asio::post(io, [weak = weak_from_this()] {
-            if (const auto self = weak.lock())
-                std::exchange(self->ready_, nullptr)(std::move(self->connection_));
+            const auto self = weak.lock();
+            if (!self) return;
+            const auto connection = std::move(self->connection_);
+            auto ready = std::exchange(self->ready_, nullptr);
+            if (!connection || quiet(connection->socket)) ready(connection);
+            else self->again_ = self->pool_.acquire(connection->to, std::move(ready));
         });
     }
 
 private:
+    NodePool& pool_;
+    std::shared_ptr<NodePool::Ticket> again_;
     std::shared_ptr<Connection> connection_;
     NodePool::Ready ready_;
 };
@@ -101,7 +108,7 @@
 std::shared_ptr<NodePool::Ticket> NodePool::acquire(const config::Endpoint& to, Ready ready) {
     if (auto connection = takeIdle(to)) {
         ++reused_;
-        const auto ticket = std::make_shared<Posted>(std::move(connection), std::move(ready));
+        const auto ticket = std::make_shared<Posted>(*this, std::move(connection), std::move(ready));
         ticket->start(io_);
         return ticket;
     }
@@ -114,7 +121,7 @@
         if (error) connection = nullptr;  // out of descriptors: as if the node refused
     }
     if (!connection) {
-        const auto ticket = std::make_shared<Posted>(nullptr, std::move(ready));
+        const auto ticket = std::make_shared<Posted>(*this, nullptr, std::move(ready));
         ticket->start(io_);
         return ticket;
     }
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -475,8 +475,10 @@
         if (outcome != Outcome::Ok && outcome != Outcome::Error) {
             // The node chokes, unless it answered what was sent after this one: then the answer was lost.
             if (outcome == Outcome::Cancelled || now - took < n.newestSent) return;
-            n.bound = std::max(1.0, n.bound / 2);
+            // Nor is a lone reset its choking: a spoilt answer came at once. A dead node's follow each other.
             n.failures = std::min(n.failures + 1, 4);
+            if (outcome == Outcome::Reset && n.failures == 1) return;
+            n.bound = std::max(1.0, n.bound / 2);
             n.downUntil = now + (kTrickleGap << n.failures) / 2;
             // Unanswered is not told as a wait: the answer may have been lost. What is out speaks for itself.
             const bool turnedAway = outcome == Outcome::Full || outcome == Outcome::ConnectFailed;
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -127,6 +127,67 @@
     CHECK(rig.outcomes(Outcome::Reset) == 1);
 }
 
+TEST_CASE("spoilt answers: each is a reset, its connection is closed, the next attempt's answer is served") {
+    const char* cases[] = {
+        "\x10\x91\x85 noise \r\n\r\n",
+        "ICY 200 OK\r\nContent-Length: 1\r\n\r\nx",
+        "HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 1\r\n\r\nx",
+        "HTTP/1.1 200 OK\r\nContent-Length: -1\r\nContent-Length: 1\r\n\r\nx",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\nzz\r\nabcde\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n\r\nno length, and the connection stays",
+    };
+    Rig rig;
+    std::uint64_t resets = 0;
+    for (const auto* spoilt : cases) {
+        const auto client = rig.client();
+        client->say(Ask{}.text());
+        const auto node = rig.nodeHas("Req-Id");
+        node->drop(), node->say(spoilt);
+        ++resets;
+        rig.until([&] { return node->ended && rig.outcomes(Outcome::Reset) == resets; }, spoilt);
+        const auto second = rig.nodeHas("Req-Id");
+        second->drop(), second->say(ok("bien", "Connection: close\r\n"));
+        rig.until([&] { return client->has("bien"); }, spoilt);
+    }
+}
+
+TEST_CASE("an answer that stops half way is a reset long before the deadline") {
+    for (const std::string begun :
+         {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort", "HTTP/1.1 200 OK\r\nX: "}) {
+        Rig rig;
+        const auto client = rig.client();
+        client->say(Ask{.deadlineMs = 60'000}.text());
+        const auto node = rig.nodeHas("Req-Id");
+        node->say(begun);
+        rig.until([&] { return node->ended && client->has("\r\n\r\n"); }, begun.c_str());
+        CHECK(rig.outcomes(Outcome::Reset) == 1);
+    }
+}
+
+// What stands in front of an answer or cannot be read beside it takes nothing from the answer; what comes
+// behind it belongs to no request.
+TEST_CASE("good answers with more than belongs to them are served, and nothing of it serves another") {
+    Rig rig;
+    const auto client = rig.client();
+    client->say(Ask{}.text());
+    const auto node = rig.nodeHas("Req-Id");
+    node->say("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n" +
+              ok("uno", "Srv-Load: =,=\r\nVolume-Load: -\r\nOther-Hosts: nan\r\n") + ok("uno"));
+    rig.until([&] { return client->has("uno"); });
+    CHECK(rig.outcomes(Outcome::Ok) == 1);
+    client->say(Ask{.id = "00000000000000b2"}.text());
+    const auto second = rig.nodeHas("00000000000000b2");
+    CHECK(second != node);
+    second->say(ok("dos"));
+    rig.until([&] { return client->has("dos"); });
+    // Between the choice of an idle connection and the first byte on it something came: another one is used.
+    std::shared_ptr<net::Connection> got;
+    const auto ticket = rig.pool.acquire(rig.node().at(), [&](auto connection) { got = connection; });
+    boost::asio::write(second->socket, boost::asio::buffer(ok("dos")));
+    rig.until([&] { return got != nullptr; });
+    CHECK(rig.pool.opened() == 3);
+}
+
 TEST_CASE("a node that refuses connections never ran the request") {
     Rig rig;
     rig.node().acceptor.close();
--- a/tests/net_support.h
+++ b/tests/net_support.h
@@ -121,7 +121,7 @@
     void until(const std::function<bool()>& so, const char* what = "what the test waits for") {
         const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(15);
         while (!so() && std::chrono::steady_clock::now() < end) io.run_one_for(std::chrono::milliseconds(50));
-        REQUIRE_MESSAGE(so(), what);
+        REQUIRE_MESSAGE(so(), std::string(what));
     }
     WirePtr connect(const config::Endpoint& to) {
         tcp::socket socket(io);
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -296,3 +296,15 @@
 }
 
 }  // namespace
+
+// Spoilt answers come from nodes that are well: one alone must not leave the node to a request in 300 ms.
+TEST(Health, ALoneResetIsNoChoking) {
+    for (const int resets : {1, 2}) {
+        Host host(settings(), kStart);
+        host.batch({nodes({node("a", 0)})});
+        for (RequestId id = 1; id <= 2; ++id) host.batch({request(id, 2, 1, host.now)});
+        for (RequestId id = 1; id <= RequestId(resets); ++id) host.batch({ended(id, 0, "a", Outcome::Reset)});
+        const auto sent = only<Send>(host.batch({request(11, 0, 1, host.now), request(12, 0, 1, host.now)}));
+        EXPECT_EQ(sent.size(), resets == 1 ? 2u : 1u);
+    }
+}
