End silent and half-sent clients within 3 s and take no open id twice

Now a first request is whole 2 s after connecting and a later one 2 s after its first byte (408), silent connections close then, a half-sent one gives way after 250 ms when the house is full; an open Req-Id is answered 409, a read with a body or a head with both lengths 400 and, for the lengths, a close. The lingering close lasts while the client still sends, 2 s at the most, so that a reset does not eat the 413 of a long body. An answer not read for 10 s is cut. Counters: silent, slow, unread, repeated. Tests: a case or a test for each rule, on sockets.

--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -15,8 +15,12 @@
 constexpr std::size_t kMostHeader = 8 * 1024, kMostBody = 64 * 1024;
 // The answer's last byte must be with the client by its deadline: this much is kept for the way there.
 constexpr Micros kAnswerRoom = 3'000;
-constexpr std::chrono::seconds kPatience{
-    10};  // for a request to become whole, where another client needs the place
+// A request is whole this long after its first byte, a connection's first one after connecting.
+constexpr std::chrono::seconds kWholeBy{2};
+// Where another client needs the place, a half-sent one keeps it no longer than this.
+constexpr std::chrono::milliseconds kHalfSent{250};
+constexpr std::chrono::seconds kAnswerRead{10};  // for a client to take its answer
+constexpr std::chrono::seconds kKeep{60};        // a connection between requests
 
 }  // namespace
 
@@ -27,16 +31,15 @@
         : Session(door, std::move(socket)), front_(front) {
         next();
     }
-    // A request that never gets whole holds its place only for a while.
-    bool idle() const override {
-        const bool begun = in_.size() > 0 || parser_->got_some();
-        return state_ == State::Reading && (!begun || std::chrono::steady_clock::now() - since_ > kPatience);
-    }
+    bool idle() const override { return state_ == State::Reading && (!begun() || age() > kHalfSent); }
+    void tend() override;
     void answer(int status, std::string_view fields, std::string_view body);
 
 protected:
     void received() override {
-        if (state_ == State::Reading) parse();
+        if (state_ != State::Reading) return;
+        if (asked_ && !parser_->got_some()) since_ = std::chrono::steady_clock::now();
+        parse();
     }
     void left() override {
         if (state_ == State::Waiting) front_.engine_.gone(id_);
@@ -52,6 +55,8 @@
 
 private:
     enum class State { Reading, Waiting, Answering };
+    bool begun() const { return in_.size() > 0 || parser_->got_some(); }
+    std::chrono::steady_clock::duration age() const { return std::chrono::steady_clock::now() - since_; }
     void next();
     void parse();
     void reject(const boost::system::error_code& error);
@@ -60,15 +65,19 @@
     Front& front_;
     std::optional<beast::http::request_parser<beast::http::string_body>> parser_;
     State state_ = State::Reading;
-    bool keepAlive_ = true, toldToGoOn_ = false;
-    std::chrono::steady_clock::time_point since_;  // its last answer, or its start
+    bool keepAlive_ = true, toldToGoOn_ = false, asked_ = false;  // asked_: a whole request came on it
+    std::chrono::steady_clock::time_point since_;  // connecting, a request's first byte, or its answer
     RequestId id_ = 0;
 };
 
 // The request while the engine has it. The client's connection may be gone before it is over.
 struct Front::Pending : net::Transfer {
     Pending(Front& front, std::weak_ptr<Client> client, std::shared_ptr<const Message> message)
-        : front(front), client(std::move(client)), message(std::move(message)) {}
+        : front(front), client(std::move(client)), message(std::move(message)) {
+        front.ids_.insert(id());
+    }
+    ~Pending() override { front.ids_.erase(id()); }
+    std::string id() const { return std::string((*message)["Req-Id"]); }
     std::shared_ptr<net::Attempt> start(const net::AttemptOrder& order) override {
         const auto attempt = std::make_shared<NodeAttempt>(
             front.engine_, front.pool_, order, message,
@@ -124,8 +133,15 @@
             toldToGoOn_ = true;
             send("HTTP/1.1 100 Continue\r\n\r\n");
         }
-        const auto coding = parser_->get()[field::transfer_encoding];
-        if (coding.empty() || beast::iequals(coding, "chunked")) continue;
+        const auto& head = parser_->get();
+        const auto coding = head[field::transfer_encoding];
+        if (coding.empty()) continue;
+        // Two lengths may hide another request in the body: nothing behind this head is read as one.
+        if (head.find(field::content_length) != head.end() || head.version() < 11) {
+            error = beast::http::error::bad_transfer_encoding;
+            break;
+        }
+        if (beast::iequals(coding, "chunked")) continue;
         ++front_.counters_.unsupported;
         keepAlive_ = false;
         return answer(501, "", "Transfer-Encoding: not supported\n");
@@ -134,6 +150,20 @@
     if (parser_->is_done()) begin();
 }
 
+void Front::Client::tend() {
+    if (!open() || state_ == State::Waiting) return;  // what waits is the module's to answer
+    if (state_ == State::Answering) {
+        if (age() > kAnswerRead) ++front_.counters_.unread, close();
+    } else if (begun() && age() > kWholeBy) {
+        ++front_.counters_.slow;
+        keepAlive_ = false;
+        answer(408, "", "the request did not become whole in time\n");
+    } else if (!begun() && age() > (asked_ ? kKeep : kWholeBy)) {
+        ++front_.counters_.silent;
+        close();
+    }
+}
+
 void Front::Client::reject(const boost::system::error_code& error) {
     keepAlive_ = false;  // where the next message starts is not known
     const bool header = error == beast::http::error::header_limit,
@@ -144,6 +174,7 @@
 
 void Front::Client::begin() {
     auto message = std::make_shared<Message>(parser_->release());
+    asked_ = true;
     keepAlive_ = message->keep_alive();
     if (message->target() == "/up") return answer(200, "", "up\n");
     ++front_.counters_.requests;
@@ -159,6 +190,10 @@
         return answer(400, "", bad->what + "\n");
     }
     auto& asked = std::get<Asked>(read);
+    if (front_.ids_.contains(std::string((*message)["Req-Id"]))) {
+        ++front_.counters_.repeated;  // a node would take it for a second copy of the one that is open
+        return answer(409, "", "Req-Id: another request with it is open\n");
+    }
     asked.request.deadlineUs = front_.engine_.now() + std::max<Micros>(0, asked.waitUs - kAnswerRoom);
     state_ = State::Waiting;
     touch();
@@ -173,6 +208,7 @@
        : status == 503 ? front_.counters_.refused
                        : front_.counters_.failed);
     state_ = State::Answering;
+    since_ = std::chrono::steady_clock::now();
     if (front_.draining_) keepAlive_ = false;
     send(forClient(status, fields, body, keepAlive_));
 }
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include <memory>
+#include <string>
+#include <unordered_set>
 
 #include "http/node_client.h"
 #include "net/session.h"
@@ -12,6 +14,7 @@
 public:
     struct Counters {
         std::uint64_t requests = 0, malformed = 0, tooLarge = 0, unsupported = 0;
+        std::uint64_t silent = 0, slow = 0, unread = 0, repeated = 0;
         std::uint64_t ok = 0, refused = 0, failed = 0;
     };
     Front(net::Engine& engine, net::NodePool& pool, const config::Endpoint& listen, std::size_t mostClients);
@@ -26,6 +29,7 @@
     net::NodePool& pool_;
     bool draining_ = false;
     Counters counters_;
+    std::unordered_set<std::string> ids_;  // Req-Ids that are open, at a node perhaps
     net::Door door_;
 };
 
--- a/src/http/platform.cpp
+++ b/src/http/platform.cpp
@@ -112,6 +112,8 @@
     if (settings.classes[std::size_t(r.classIndex)].effect == Effect::Deduplicated &&
         text("Idempotency-Key").empty())
         return bad("Idempotency-Key", "missing, and the class carries a key");
+    if (message.method() == beast::http::verb::get && !message.body().empty())
+        return bad("Content-Length", "a read has no body");
     r.retry = text("Req-Retry") == "1";
     return asked;
 }
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -176,9 +176,10 @@
         logger_.info(
             "counters http: connections={} open={} requests={} ok={} refused={} failed={} malformed={} "
             "too_large={} "
-            "unsupported={} closed_idle={}",
+            "unsupported={} closed_idle={} "
+            "silent={} slow={} unread={} repeated={}",
             door.accepted(), door.connections(), f.requests, f.ok, f.refused, f.failed, f.malformed,
-            f.tooLarge, f.unsupported, door.closedIdle());
+            f.tooLarge, f.unsupported, door.closedIdle(), f.silent, f.slow, f.unread, f.repeated);
         if (rsync_) {
             const auto& r = rsync_->counters();
             logger_.info(
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -4,7 +4,11 @@
 namespace {
 
 using boost::asio::ip::tcp;
-constexpr std::chrono::milliseconds kLinger{300};  // for the client to read the last answer and close
+using SteadyClock = std::chrono::steady_clock;
+// For the client to read the last answer and close: while it still sends, as with a body that is too long, a
+// close would reset the connection and could take the answer back. The whole is bounded, and so is silence.
+constexpr std::chrono::milliseconds kLinger{2'000}, kLingerQuiet{300};
+constexpr std::chrono::milliseconds kTendEvery{200};
 
 }  // namespace
 
@@ -24,7 +28,7 @@
                 return self->close();
             }
             self->in_.commit(n);
-            if (self->lingering_) self->in_.clear();
+            if (self->lingering_) self->in_.clear(), self->lingerOn();
             else self->received();
             self->read();
         });
@@ -63,11 +67,23 @@
     boost::system::error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
     in_.clear();
-    linger_.expires_after(kLinger);
-    linger_.async_wait([self = shared_from_this()](const boost::system::error_code&) { self->close(); });
+    lingerSince_ = SteadyClock::now();
+    lingerOn();
     read();
 }
 
+void Session::lingerOn() {
+    linger_.expires_at(std::min(SteadyClock::now() + kLingerQuiet, lingerSince_ + kLinger));
+    linger_.async_wait([self = shared_from_this()](const boost::system::error_code& moved) {
+        if (!moved) self->close();
+    });
+}
+
+bool Session::spare() const {
+    if (lingering_) return SteadyClock::now() - lingerSince_ > kLingerQuiet;
+    return idle() && unread() == 0;
+}
+
 std::size_t Session::unread() const {
     boost::system::error_code error;
     const auto bytes = socket_.available(error);
@@ -96,11 +112,25 @@
                      session->start();
                  },
                  [this] { return sessions_.size() >= most_; }, [this] { return closeOldestIdle(); }}),
-      at_(listener_.at()) {}
+      at_(listener_.at()),
+      tender_(io) {
+    tend();
+}
+
+void Door::tend() {
+    for (auto it = sessions_.begin(); it != sessions_.end();) {
+        const auto held = *it++;  // which may close itself, but no other
+        held->tend();
+    }
+    tender_.expires_after(kTendEvery);
+    tender_.async_wait([this](const boost::system::error_code& stopped) {
+        if (!stopped) tend();
+    });
+}
 
 bool Door::closeOldestIdle() {
     for (const auto& session : sessions_)
-        if (session->idle() && session->unread() == 0) {
+        if (session->spare()) {
             ++closedIdle_;
             const auto held = session;
             held->close();
@@ -116,6 +146,7 @@
 }
 
 void Door::stop() {
+    tender_.cancel();
     while (!sessions_.empty()) {
         const auto held = sessions_.front();
         held->close();
--- a/src/net/session.h
+++ b/src/net/session.h
@@ -20,6 +20,7 @@
     virtual ~Session() = default;
     virtual void start() { read(); }
     virtual bool idle() const = 0;  // nothing is owed to the client: it may be closed
+    virtual void tend() {}          // looked at by its door now and then: closes what has waited too long
     void close();
 
 protected:
@@ -29,7 +30,7 @@
     virtual void sent() {}        // all that send() was given is written
     void read();                  // goes on by itself while in_ has room
     void send(std::string text);
-    void linger();  // nothing more to say: the client closes, or a while
+    void linger();  // nothing more to say: the client closes, falls quiet, or a bound
     void touch();   // now the last of the idle ones to be closed
     bool open() const { return open_; }
 
@@ -41,9 +42,12 @@
     friend class Door;
     void write();
     std::size_t unread() const;  // bytes that wait in the system
+    bool spare() const;          // may make room for another client
+    void lingerOn();
     std::string text_;
     std::size_t put_ = 0;
     boost::asio::steady_timer linger_;
+    std::chrono::steady_clock::time_point lingerSince_;
     bool open_ = true, reading_ = false, lingering_ = false;
     std::list<std::shared_ptr<Session>>::iterator place_;
 };
@@ -66,12 +70,14 @@
 private:
     friend class Session;
     bool closeOldestIdle();
+    void tend();
     boost::asio::io_context& io_;
     std::size_t most_;
     std::uint64_t accepted_ = 0, closedIdle_ = 0;
     std::list<std::shared_ptr<Session>> sessions_;  // the longest untouched first
     Listener listener_;
     config::Endpoint at_;
+    boost::asio::steady_timer tender_;
 };
 
 }  // namespace wingproxy::net
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -50,6 +50,17 @@
         {"PUT /api HTTP/1.1\r\nContent-Length: 70000\r\n\r\n", "413", "", true},
         // With the first bytes of the body right behind the head: the length alone is enough.
         {"PUT /api HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n" + std::string(1000, 'a'), "413", "", true},
+        // Two lengths, either way round, may hide a second request.
+        {"PUT /api HTTP/1.1\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" +
+             Ask{}.text(),
+         "400", "", true},
+        {"PUT /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\n" +
+             Ask{}.text(),
+         "400", "", true},
+        {"PUT /api HTTP/1.1\r\nTransfer-Encoding: x\r\nContent-Length: 0\r\n\r\n" + Ask{}.text(), "400", "",
+         true},
+        {"PUT /api HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + Ask{}.text(), "400", "", true},
+        {"PUT /api HTTP/1.1\r\nContent-Length: -4\r\n\r\n", "400", "", true},
         {"PUT /api HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n", "501", "Transfer-Encoding", true},
     };
     Rig rig;
@@ -65,6 +76,80 @@
     CHECK(rig.engine.counters().taken == 0);
 }
 
+TEST_CASE("silent and half-sent connections end within 3 s of connecting") {
+    Rig rig;
+    const auto since = std::chrono::steady_clock::now();
+    const auto silent = rig.client(), half = rig.client(), used = rig.client();
+    half->say("GET /api HTTP/1.1\r\nReq-Id: ");
+    used->say("GET /up HTTP/1.1\r\n\r\n");
+    rig.until([&] { return silent->ended && half->ended; });
+    CHECK(std::chrono::steady_clock::now() - since < std::chrono::seconds(3));
+    CHECK(silent->got.empty());
+    CHECK(half->has("HTTP/1.1 408 "));
+    CHECK(rig.front.counters().silent == 1);
+    CHECK(rig.front.counters().slow == 1);
+    CHECK(used->has(" 200 "));
+    CHECK(!used->ended);  // kept between requests
+}
+
+TEST_CASE("half-sent requests do not hold the places of others") {
+    Rig rig(baseConfig(), 1, 2);
+    const auto since = std::chrono::steady_clock::now();
+    const auto first = rig.client(), second = rig.client();
+    first->say("GET "), second->say("GET ");
+    rig.until([&] { return rig.front.door().connections() == 2; });
+    const auto third = rig.client();
+    third->say("GET /up HTTP/1.1\r\n\r\n");
+    rig.until([&] { return third->has(" 200 "); });
+    CHECK(std::chrono::steady_clock::now() - since < std::chrono::seconds(1));
+}
+
+// A close with bytes unread resets the connection, and what the client had not read yet is gone.
+TEST_CASE("a client that goes on sending a body that is too long still gets its answer") {
+    Rig rig;
+    tcp::socket client(rig.io);
+    client.connect(net::tcpEndpoint(rig.front.door().at()));
+    const std::string head = "PUT /api HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n", piece(64 * 1024, 'x');
+    asio::write(client, asio::buffer(head));
+    asio::steady_timer pace(rig.io);
+    int sent = 0;
+    boost::system::error_code broken;
+    const std::function<void()> more = [&] {  // for longer than a quiet connection would linger
+        pace.expires_after(std::chrono::milliseconds(50));
+        pace.async_wait([&](auto) {
+            asio::write(client, asio::buffer(piece), broken);
+            if (++sent < 16 && !broken) more();
+        });
+    };
+    more();
+    rig.until([&] { return sent == 16 || broken; });
+    CHECK(!broken);
+    std::string answer;
+    client.shutdown(tcp::socket::shutdown_send, broken);
+    asio::async_read(client, asio::dynamic_buffer(answer),
+                     [&](const auto& error, std::size_t) { broken = error; });
+    rig.until([&] { return bool(broken); });
+    CHECK(broken == asio::error::eof);
+    CHECK(answer.find("HTTP/1.1 413 ") == 0);
+}
+
+TEST_CASE("the id of a request that is open is not taken a second time") {
+    Rig rig;
+    const auto client = rig.client(), copy = rig.client();
+    client->say(Ask{}.text());
+    const auto node = rig.nodeHas("Req-Id");
+    copy->say(Ask{.kind = "alta"}.text());
+    rig.until([&] { return copy->has("HTTP/1.1 409 "); });
+    node->say(ok("propia"));
+    rig.until([&] { return client->has("propia"); });
+    CHECK(rig.front.counters().repeated == 1);
+    CHECK(rig.engine.counters().taken == 1);
+    copy->drop(), node->drop();
+    copy->say(Ask{}.text());  // it is free again
+    rig.nodeHas("Req-Id")->say(ok("otra"));
+    rig.until([&] { return copy->has("otra"); });
+}
+
 TEST_CASE("other methods, and a client that waits to be told to send its body") {
     Rig rig;
     const auto other = rig.client(), client = rig.client();
