--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -49,6 +49,14 @@
 constexpr double kSmooth = 0.2;             // weight of the newest latency
 constexpr Micros kStallLeast = 400'000;     // silence with work out: beyond an ordinary pause
 constexpr double kStallLatencies = 4;       // or this many latencies, where a node is slow by nature
+// A node of whose answers all are errors looks so many aims further away to a new object, until it has not been
+// heard for so long.
+constexpr double kErrorAims = 4;
+constexpr Micros kErrorMemory = 5'000'000;
+// An answer is lost, or its connection fell silent, when the node has answered what was sent so much later: by
+// this time at the least, and by this multiple of what a request of its size takes there.
+constexpr Micros kLostLeast = 150'000;
+constexpr double kLostTimes = 4;
 constexpr Micros kTrickleGap = 300'000;     // a suspect still gets one request this often: shows recovery
 // A node's queue is kept short for what is worth more: spare work is sent while an answer takes at most this
 // part of the shortest aim, shared work this part, reserved work while it can be answered in time.
@@ -499,6 +507,9 @@
         }
         n.newestSent = std::max(n.newestSent, now - took);
         n.failures = 0, n.downUntil = kNever;
+        n.errors += kSmooth * ((outcome == Outcome::Error ? 1 : 0) - n.errors);
+        // A quick failure tells nothing of a node's pace: taken for an answer it draws all new objects to it.
+        if (outcome == Outcome::Error) { n.progressAt = now; return; }
         const double old = double(now - n.heardAt) / double(kRateMemory);
         const double weight = std::max(kSmooth, 1 - std::exp2(-old));
         n.progressAt = n.heardAt = now;
@@ -623,6 +634,8 @@
                 if (!n.listed || n.info.state != NodeState::Ready) continue;
                 double wait = latencyOf(n) * (1 + std::max(0.0, n.out + 1 - boundOf(n)) / boundOf(n)) +
                               ahead * 1e6 / unitRate(n);
+                // What fails there may be tried again in its cell only.
+                if (now - n.progressAt < kErrorMemory) wait += kErrorAims * n.errors * double(shortestAim);
                 if (coldNode(n)) wait = wait / set.coldStart + double(shortestAim);
                 if (stalled(n) || !coldTakes(n, ahead + units)) wait += 1e12;     // the last resort
                 if (wait < least) { least = wait; best = int(i); }
@@ -800,11 +813,28 @@
         }
         if (r.pinnedNode < 0) { r.pinnedNode = index; r.firstMaybeRun = now; }
         r.sentTo[r.attempts++] = index;
+        r.sentAt = now;
         ++r.out;
         ++n.out;
         act(Send{r.info.id, n.info.id, 0});
     }
 
+    // What is lost holds a place at its node until its deadline: it is given free, and the time that is left
+    // goes to another attempt. Could harm where a node overtakes by far in its own queue.
+    void dropLost() {
+        std::map<std::uint64_t, Cancel> lost;
+        for (const auto& [id, r] : requests) {
+            if (r.out != 1 || r.streaming) continue;
+            const auto& [attempt, index] = *r.sentTo.begin();
+            const Node& n = nodes[std::size_t(index)];
+            const double usual = std::max(n.latency, n.perUnit * r.info.units);
+            const bool late = double(n.newestSent - r.sentAt) > std::max(double(kLostLeast), kLostTimes * usual);
+            const bool may = r.attempts < set.maxAttempts && r.cls && r.cls->effect != Effect::AtMostOnce;
+            if (late && (may || r.done)) lost.emplace(r.seq, Cancel{id, attempt});
+        }
+        for (const auto& [seq, cancel] : lost) act(cancel);
+    }
+
     void giveUp(Pending& r, Micros wait) {
         const Micros advice = std::min(std::max(wait, kLeastAdvice), set.maxRetryAfterUs);
         if (mayRefuse(r)) act(Refuse{r.info.id, set.retryAdvice ? advice : 0});
@@ -973,6 +1003,7 @@
             const Micros term = listWait > 0 ? listWait : Micros(kRenewPart * double(set.askEveryUs));
             if (term > 0 && now - lastList >= term) watch();
         }
+        if (set.mayCancel) dropLost();
         for (auto& [name, v] : volumes) lease(v);
         if (now - lastTell >= kTellEvery / 2) {
             lastTell = now, setLevels(), tellRolls();
--- a/src/state.h
+++ b/src/state.h
@@ -70,6 +70,7 @@
     bool listed = false;
     NodeInfo info;
     double bound = 0, latency = 0, units = 1, perUnit = 0;
+    double errors = 0;                  // part of its answers, smoothed
     double floorNow = 0, floorOld = 0;
     Micros floorAt = 0, progressAt = 0, shrunkAt = kNever, trickleAt = kNever, heardAt = kNever, newestSent = kNever;
     Micros downUntil = kNever, listedAt = kNever;
@@ -84,7 +85,7 @@
     Request info;
     const ClassInfo* cls = nullptr;
     Volume* volume = nullptr;
-    Micros arrival = 0, due = 0, firstMaybeRun = kNever;
+    Micros arrival = 0, due = 0, sentAt = 0, firstMaybeRun = kNever;
     std::uint64_t seq = 0;
     int cell = -1, attempts = 0, out = 0, pinnedNode = -1;
     bool done = false, held = false, inReserve = false, inShare = true, tookTokens = false, maybeRun = false,
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -308,3 +308,45 @@
         EXPECT_EQ(sent.size(), resets == 1 ? 2u : 1u);
     }
 }
+
+// A connection that fell silent must not hold a place at its node, and its request's time, until the deadline.
+TEST(Health, AnAttemptThatTheNodeOvertookByFarIsTriedAgainAndOthersAreNot) {
+    auto s = settings();
+    s.mayCancel = true;
+    for (const int cls : {0, 2}) {  // safe; never to be repeated
+        Host host(s, kStart);
+        host.batch({nodes({node("a", 0)})});
+        ASSERT_EQ(only<Send>(host.batch({request(1, cls, 1, host.now)})).size(), 1u);
+        std::vector<Action> all;
+        for (RequestId id = 2; id <= 14; ++id) {    // each is answered after 20 ms
+            host.batch({request(id, 0, 1, host.now)});
+            for (auto& a : host.runTo(host.now + 20 * kMs)) all.push_back(a);
+            for (auto& a : host.batch({ended(id, 0, "a", Outcome::Ok)})) all.push_back(a);
+            if (id <= 6) { EXPECT_TRUE(only<Cancel>(all).empty()); }    // by 100 ms: it may be a slow one
+        }
+        const auto cancels = only<Cancel>(all);
+        ASSERT_EQ(cancels.empty(), cls == 2);
+        for (const auto& c : cancels) EXPECT_EQ(c.id, 1u);
+        if (cls == 2) continue;
+        const auto again = only<Send>(host.batch({ended(1, 0, "a", Outcome::Cancelled)}));
+        ASSERT_EQ(again.size(), 1u);
+        EXPECT_EQ(again[0].id, 1u);
+    }
+}
+
+// A node that fails at once looks quick: new objects went there, and may be tried again in its cell only.
+TEST(Health, NewObjectsAvoidANodeThatFails) {
+    Host host = ready();
+    RequestId id = 0;
+    for (int i = 0; i < 8; ++i, host.now += 50 * kMs)
+        for (const int cell : {0, 1}) {
+            host.batch({request(++id, 2, 1, host.now, 2, cell)});
+            host.batch({cell == 0 ? ended(id, 0, "a", Outcome::Error, kMs) : ended(id, 0, "b", Outcome::Ok)});
+        }
+    for (int i = 0; i < 6; ++i) {
+        const auto sent = only<Send>(host.batch({request(++id, 1, 1, host.now, 2, -1)}));
+        ASSERT_EQ(sent.size(), 1u);
+        EXPECT_EQ(sent[0].node, "b");
+        host.batch({ended(id, 0, "b", Outcome::Ok)});
+    }
+}
