--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -49,12 +49,12 @@
 constexpr double kSmooth = 0.2;             // weight of the newest latency
 constexpr Micros kStallLeast = 400'000;     // silence with work out: beyond an ordinary pause
 constexpr double kStallLatencies = 4;       // or this many latencies, where a node is slow by nature
-// A node of whose answers all are errors looks so many aims further away to a new object, until it has not been
+// A node of whose answers all are errors looks so many aims further away to a new object, until it was not
 // heard for so long.
 constexpr double kErrorAims = 4;
 constexpr Micros kErrorMemory = 5'000'000;
-// An answer is lost, or its connection fell silent, when the node has answered what was sent so much later: by
-// this time at the least, and by this multiple of what a request of its size takes there.
+// An answer is lost, or its connection fell silent, when the node has answered what was sent so much later:
+// by this time at the least, and by this multiple of what a request of its size takes there.
 constexpr Micros kLostLeast = 150'000;
 constexpr double kLostTimes = 4;
 constexpr Micros kTrickleGap = 300'000;     // a suspect still gets one request this often: shows recovery
@@ -828,7 +828,8 @@
             const auto& [attempt, index] = *r.sentTo.begin();
             const Node& n = nodes[std::size_t(index)];
             const double usual = std::max(n.latency, n.perUnit * r.info.units);
-            const bool late = double(n.newestSent - r.sentAt) > std::max(double(kLostLeast), kLostTimes * usual);
+            const double least = std::max(double(kLostLeast), kLostTimes * usual);
+            const bool late = double(n.newestSent - r.sentAt) > least;
             const bool may = r.attempts < set.maxAttempts && r.cls && r.cls->effect != Effect::AtMostOnce;
             if (late && (may || r.done)) lost.emplace(r.seq, Cancel{id, attempt});
         }
@@ -964,8 +965,8 @@
     }
     void on(const TimerFired& e) { if (e.token == kTickToken) tick(); }
 
-    // Volumes and nodes come and go. What an open request needs stays: a keyed one may be resent only near the
-    // node where it first ran. A bucket is full again by then, so that a volume that comes back gains nothing.
+    // Volumes and nodes come and go. What an open request needs stays: a keyed one may be resent only near
+    // the node where it first ran. A bucket is full again by then: a volume that comes back gains nothing.
     void forget() {
         lastForget = now;
         std::set<const Volume*> open;
