--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -20,7 +20,12 @@
 // Where another client needs the place, a half-sent one keeps it no longer than this.
 constexpr std::chrono::milliseconds kHalfSent{250};
 constexpr std::chrono::seconds kAnswerRead{10};  // for a client to take its answer
-constexpr std::chrono::seconds kKeep{60};        // a connection between requests
+// A connection between requests is kept so long, and where the house is this full only as long as a silent
+// one: clients hold only so many, and those that ask once and stay leave the others none to ask on.
+constexpr std::chrono::seconds kKeep{60};
+constexpr std::size_t kCrowded = 4;  // a quarter
+// Where it is this full, answers end their connections, unless the program stops: none could be opened then.
+constexpr std::size_t kFull = 2;  // a half
 
 }  // namespace
 
@@ -56,6 +61,9 @@
 
 private:
     enum class State { Reading, Waiting, Answering };
+    bool over(std::size_t part) const {
+        return front_.answerBy_ == INT64_MAX && door_.connections() * part > door_.most();
+    }
     bool begun() const { return in_.size() > 0 || parser_->got_some(); }
     std::chrono::steady_clock::duration age() const { return std::chrono::steady_clock::now() - since_; }
     void next();
@@ -176,7 +184,7 @@
         ++front_.counters_.slow;
         keepAlive_ = false;
         answer(408, "", "the request did not become whole in time\n");
-    } else if (!begun() && age() > (asked_ ? kKeep : kWholeBy)) {
+    } else if (!begun() && age() > (asked_ && !over(kCrowded) ? kKeep : kWholeBy)) {
         ++front_.counters_.silent;
         close();
     }
@@ -231,7 +239,7 @@
                        : front_.counters_.failed);
     state_ = State::Answering;
     since_ = std::chrono::steady_clock::now();
-    if (front_.draining_) keepAlive_ = false;
+    if (front_.draining_ || over(kFull)) keepAlive_ = false;
     send(forClient(status, fields, body, keepAlive_));
 }
 
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -121,6 +121,39 @@
     CHECK(!used->ended);  // kept between requests
 }
 
+// Clients hold a part of the descriptors; what asks once and stays must not be all of it.
+TEST_CASE("a connection that asked and is idle stays in an empty house and ends after 2 s in a crowded one") {
+    Rig rig(baseConfig(), 1, 12);
+    std::vector<WirePtr> stayed;
+    for (int i = 0; i < 4; ++i) {
+        stayed.push_back(rig.client());
+        stayed.back()->say("GET /up HTTP/1.1\r\n\r\n");
+        rig.until([&] { return stayed.back()->has(" 200 "); });
+    }
+    const auto silent = rig.client();  // ends after 2 s in any case; one of the four makes it a quarter again
+    const auto count = [&] {
+        return std::count_if(stayed.begin(), stayed.end(), [](auto& w) { return w->ended; });
+    };
+    rig.until([&] { return silent->ended && count() >= 1; });
+    CHECK(count() < 4);
+    CHECK(rig.front.door().connections() <= 3);
+}
+
+TEST_CASE("in a house more than half full answers end their connections, but not while the front stops") {
+    Rig rig(baseConfig(), 1, 4);
+    const auto first = rig.client(), second = rig.client(), third = rig.client();
+    rig.until([&] { return rig.front.door().connections() == 3; });
+    first->say("GET /up HTTP/1.1\r\n\r\n");
+    rig.until([&] { return first->has(" 200 ") && first->ended; });
+    CHECK(first->has("Connection: close\r\n"));
+    rig.front.answerBy(rig.engine.now() + 1'000'000);
+    const auto fourth = rig.client();
+    rig.until([&] { return rig.front.door().connections() >= 3; });
+    second->say("GET /up HTTP/1.1\r\n\r\n");
+    rig.until([&] { return second->has(" 200 "); });
+    CHECK(!second->has("Connection: close\r\n"));
+}
+
 TEST_CASE("half-sent requests do not hold the places of others") {
     Rig rig(baseConfig(), 1, 2);
     const auto since = std::chrono::steady_clock::now();
