Close no idle connection on which a request waits unread

The door's look at idle connections closed them without asking the system for unread bytes, as makeRoom() does; on a busy core a request that crosses would be sent twice.

--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -184,7 +184,7 @@
         ++front_.counters_.slow;
         keepAlive_ = false;
         answer(408, "", "the request did not become whole in time\n");
-    } else if (!begun() && age() > (asked_ && !over(kCrowded) ? kKeep : kWholeBy)) {
+    } else if (!begun() && unread() == 0 && age() > (asked_ && !over(kCrowded) ? kKeep : kWholeBy)) {
         ++front_.counters_.silent;
         close();
     }
--- a/src/net/session.h
+++ b/src/net/session.h
@@ -32,6 +32,7 @@
     void linger();  // nothing more to say: the client closes, falls quiet, or a bound
     void touch();   // now the last of the idle ones to be closed
     bool open() const { return open_; }
+    std::size_t unread() const;  // bytes that wait in the system
 
     Door& door_;
     boost::asio::ip::tcp::socket socket_;
@@ -40,8 +41,7 @@
 private:
     friend class Door;
     void write();
-    std::size_t unread() const;  // bytes that wait in the system
-    bool spare() const;          // may make room for another client
+    bool spare() const;  // may make room for another client
     void lingerOn();
     std::string text_;
     std::size_t put_ = 0;
