Hold the first-byte rule, the parser's step and the stop timer once each

Both node clients began an attempt with the same lines, the rule on drains among them, and ended it alike: now net::NodeAttempt takes the connection, checks the time and ends once; each wire says what connects, what is late and what it closes. The front's and the exchange's parser loops, with the same way round Beast's lost error and the same bound on heads, call net::step() and net::headLimit(). Program::after() arms the stop timer, in place of three copies. Behaviour is meant to stay as it was; no test was changed, and all of them pass.

--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -6,13 +6,15 @@
 #include <map>
 #include <optional>
 
+#include "net/http_step.h"
+
 namespace wingproxy::http {
 namespace {
 
 namespace beast = boost::beast;
 using beast::http::field;
 
-constexpr std::size_t kMostHeader = 8 * 1024, kMostBody = 64 * 1024;
+constexpr std::size_t kMostBody = 64 * 1024;
 // The answer's last byte must be with the client by its deadline: this much is kept for the way there.
 constexpr Micros kAnswerRoom = 3'000;
 // A request is whole this long after its first byte, a connection's first one after connecting.
@@ -128,22 +130,13 @@
     bytes_ = nullptr;
     since_ = std::chrono::steady_clock::now();
     parser_.emplace();
-    parser_->header_limit(std::uint32_t(std::min(kMostHeader, in_.capacity())));
+    parser_->header_limit(net::headLimit(in_));
     parser_->body_limit(kMostBody);
 }
 
 void Front::Client::parse() {
     boost::system::error_code error;
-    while (in_.size() > 0 && !parser_->is_done()) {
-        // An eager parser loses the error of a length over the limit where the body's first bytes are there.
-        parser_->eager(parser_->is_header_done());
-        const auto used = parser_->put(in_.data(), error);
-        in_.consume(used);
-        if (error == beast::http::error::need_more) {
-            error = {};
-            if (used == 0) break;
-        }
-        if (error) break;
+    while (in_.size() > 0 && !parser_->is_done() && net::step(*parser_, in_, error)) {
         if (!parser_->is_header_done()) continue;
         if (!bytes_) {
             const auto length = parser_->content_length();
--- a/src/http/node_client.cpp
+++ b/src/http/node_client.cpp
@@ -12,28 +12,16 @@
 
 NodeAttempt::NodeAttempt(net::Engine& engine, net::NodePool& pool, const net::AttemptOrder& order,
                          std::shared_ptr<const Message> message, Keep keep)
-    : engine_(engine), pool_(pool), order_(order), message_(std::move(message)), keep_(std::move(keep)) {}
+    : net::NodeAttempt(engine, pool, order), message_(std::move(message)), keep_(std::move(keep)) {}
 
-void NodeAttempt::start() {
-    ticket_ =
-        pool_.acquire(order_.node, [self = shared_from_this()](std::shared_ptr<net::Connection> connection) {
-            if (!self->over_) self->connected(std::move(connection));
-        });
-}
+void NodeAttempt::late(std::shared_ptr<net::Connection> connection) { pool_.release(std::move(connection)); }
 
 void NodeAttempt::connected(std::shared_ptr<net::Connection> connection) {
-    ticket_ = nullptr;
-    const auto now = engine_.now();
-    // Past its time the node may have been told to drain meanwhile: not a byte goes out.
-    if (!connection || now > order_.firstByteBy) {
-        if (connection) pool_.release(std::move(connection));
-        end({order_.id, order_.attempt, Outcome::ConnectFailed, 0, 0, {}});
-        return;
-    }
     const auto host = fmt::format("{}:{}", order_.node.host, order_.node.port);
     exchange_ = std::make_shared<net::Exchange>(
-        std::move(connection), forNode(*message_, host, order_.giveUpAt - now), kMostAnswer,
-        [self = shared_from_this()](net::Exchange::Result result, Answer answer) {
+        std::move(connection), forNode(*message_, host, order_.giveUpAt - engine_.now()), kMostAnswer,
+        [self = std::static_pointer_cast<NodeAttempt>(shared_from_this())](net::Exchange::Result result,
+                                                                           Answer answer) {
             if (!self->over_) self->answered(result, std::move(answer));
         },
         &engine_.bodies());
@@ -45,22 +33,12 @@
     if (result == net::Exchange::Result::NotWritten) ended.outcome = Outcome::ConnectFailed;
     else if (result == net::Exchange::Result::Broken) ended.outcome = Outcome::Reset;
     else ended = readAnswer(answer, engine_.settings());
-    ended.id = order_.id;
-    ended.attempt = order_.attempt;
     if (auto connection = exchange_->reusable()) pool_.release(std::move(connection));
     if (ended.outcome == Outcome::Ok) keep_(order_.attempt, std::move(answer), exchange_->hold());
     end(std::move(ended));
 }
 
-void NodeAttempt::end(core::Ended how) {
-    over_ = true;
-    exchange_ = nullptr;
-    engine_.ended(std::move(how));
-}
-
-void NodeAttempt::abandon() {
-    over_ = true;
-    ticket_ = nullptr;
+void NodeAttempt::drop() {
     if (exchange_) exchange_->abandon();
     exchange_ = nullptr;
 }
--- a/src/http/node_client.h
+++ b/src/http/node_client.h
@@ -5,33 +5,27 @@
 #include <memory>
 
 #include "http/platform.h"
-#include "net/engine.h"
 #include "net/exchange.h"
+#include "net/node_attempt.h"
 
 namespace wingproxy::http {
 
-class NodeAttempt : public net::Attempt, public std::enable_shared_from_this<NodeAttempt> {
+class NodeAttempt : public net::NodeAttempt {
 public:
     // Called before the engine hears of an Ok.
     using Keep = std::function<void(int attempt, Answer answer, net::ByteBudget::Hold hold)>;
     NodeAttempt(net::Engine& engine, net::NodePool& pool, const net::AttemptOrder& order,
                 std::shared_ptr<const Message> message, Keep keep);
-    void start();
-    void abandon() override;
 
 private:
-    void connected(std::shared_ptr<net::Connection> connection);
+    void connected(std::shared_ptr<net::Connection> connection) override;
+    void late(std::shared_ptr<net::Connection> connection) override;
+    void drop() override;
     void answered(net::Exchange::Result result, Answer answer);
-    void end(core::Ended how);
 
-    net::Engine& engine_;
-    net::NodePool& pool_;
-    net::AttemptOrder order_;
     std::shared_ptr<const Message> message_;
     Keep keep_;
-    std::shared_ptr<net::NodePool::Ticket> ticket_;
     std::shared_ptr<net::Exchange> exchange_;
-    bool over_ = false;
 };
 
 // GET /metrics/load, where the settings allow probes.
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -146,19 +146,20 @@
         front_.answerBy(engine_.now() + (kill_ - kAnswerBy).count());
         serveOn();
     }
+    void after(std::chrono::milliseconds delay, void (Program::*next)()) {
+        closing_.expires_after(delay);
+        closing_.async_wait([this, next](const boost::system::error_code&) { (this->*next)(); });
+    }
     void serveOn() {
         const auto since = std::chrono::steady_clock::now() - leavingSince_;
         const bool alone = front_.door().connections() == 0;
         if (since < kKeepAccepting || (!alone && since < kill_ - kStopServing)) {
-            closing_.expires_after(kLookEvery);
-            closing_.async_wait([this](const boost::system::error_code&) { serveOn(); });
-            return;
+            return after(kLookEvery, &Program::serveOn);
         }
         front_.drain();
         front_.door().closeListener();
         if (rsync_) rsync_->door().closeListener();
-        closing_.expires_after(kLastRequests);
-        closing_.async_wait([this](const boost::system::error_code&) { lookWhetherDone(); });
+        after(kLastRequests, &Program::lookWhetherDone);
     }
     // All that was taken is answered first; a connection that only began to ask holds nothing up for long.
     void lookWhetherDone() {
@@ -167,9 +168,7 @@
         const auto connections = front_.door().connections() + (rsync_ ? rsync_->door().connections() : 0);
         const auto since = std::chrono::steady_clock::now() - leavingSince_;
         if (engine_.open() > 0 || (connections > 0 && since < kill_ - kGone)) {
-            closing_.expires_after(kLookEvery);
-            closing_.async_wait([this](const boost::system::error_code&) { lookWhetherDone(); });
-            return;
+            return after(kLookEvery, &Program::lookWhetherDone);
         }
         engine_.stop();
         front_.door().stop();
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -1,5 +1,7 @@
 #include "net/exchange.h"
 
+#include "net/http_step.h"
+
 namespace wingproxy::net {
 namespace http = boost::beast::http;
 namespace {
@@ -8,7 +10,6 @@
 // hold its request until the deadline. Long against a lost packet that is sent again.
 constexpr std::chrono::milliseconds kStall{250};
 constexpr int kMostInterim = 8;
-constexpr std::size_t kMostHead = 8 * 1024;
 
 }  // namespace
 
@@ -26,7 +27,7 @@
 void Exchange::next() {
     parser_.emplace();
     parser_->body_limit(bodyLimit_);
-    parser_->header_limit(std::uint32_t(std::min<std::size_t>(kMostHead, connection_->in.capacity())));
+    parser_->header_limit(headLimit(connection_->in));
 }
 
 void Exchange::start() { write(); }
@@ -63,17 +64,7 @@
 void Exchange::parse(bool ended) {
     auto& in = connection_->in;
     boost::system::error_code error;
-    while (in.size() > 0 && !parser_->is_done()) {
-        // An eager parser loses the error of a length over the limit where the body's first bytes are there.
-        parser_->eager(parser_->is_header_done());
-        const auto used = parser_->put(in.data(), error);
-        in.consume(used);
-        if (error == http::error::need_more) {
-            if (in.space() == 0) break;  // a header that no ring can hold
-            error = {};
-            if (used == 0) break;
-        }
-        if (error) break;
+    while (in.size() > 0 && !parser_->is_done() && step(*parser_, in, error)) {
         if (budget_ && !hold_ && parser_->is_header_done()) {
             const auto length = parser_->content_length();
             hold_ = budget_->take(length ? std::size_t(*length) : parser_->is_done() ? 0 : bodyLimit_);
--- a/src/rsync/node_client.cpp
+++ b/src/rsync/node_client.cpp
@@ -6,9 +6,7 @@
 
 NodeAttempt::NodeAttempt(net::Engine& engine, net::NodePool& pool, const net::AttemptOrder& order,
                          std::shared_ptr<const Order> transfer, std::weak_ptr<Client> client)
-    : engine_(engine),
-      pool_(pool),
-      order_(order),
+    : net::NodeAttempt(engine, pool, order),
       transfer_(std::move(transfer)),
       client_(std::move(client)),
       sender_(transfer_->options, transfer_->options.pull),
@@ -17,17 +15,11 @@
       fromClient_(transfer_->options.pull ? static_cast<Follower&>(generator_) : sender_),
       frames_(fromNode_) {}
 
-void NodeAttempt::start() {
-    ticket_ =
-        pool_.acquire(order_.node, [self = shared_from_this()](std::shared_ptr<net::Connection> connection) {
-            if (!self->over_) self->connected(std::move(connection));
-        });
+std::shared_ptr<NodeAttempt> NodeAttempt::self() {
+    return std::static_pointer_cast<NodeAttempt>(shared_from_this());
 }
 
 void NodeAttempt::connected(std::shared_ptr<net::Connection> connection) {
-    ticket_ = nullptr;
-    // Past its time the node may have been told to drain meanwhile: not a byte goes out.
-    if (!connection || engine_.now() > order_.firstByteBy) return end(Outcome::ConnectFailed);
     connection_ = std::move(connection);
     say(greeting() + transfer_->remoteModule + "\n");
     read();
@@ -48,7 +40,7 @@
         return;
     }
     connection_->socket.async_write_some(
-        out.data(), [self = shared_from_this()](const boost::system::error_code& error, std::size_t n) {
+        out.data(), [self = self()](const boost::system::error_code& error, std::size_t n) {
             if (self->over_) return;
             self->connection_->out.consume(n);
             if (error) self->end(Outcome::ConnectFailed);  // not all of the request was written
@@ -60,8 +52,7 @@
     if (reading_ || nodeEnded_ || connection_->in.space() == 0) return;
     reading_ = true;
     connection_->socket.async_read_some(
-        connection_->in.room(),
-        [self = shared_from_this()](const boost::system::error_code& error, std::size_t n) {
+        connection_->in.room(), [self = self()](const boost::system::error_code& error, std::size_t n) {
             self->reading_ = false;
             if (self->over_) return;
             self->connection_->in.commit(n);
@@ -106,7 +97,7 @@
     if (!client) return end(Outcome::Cancelled);
     stage_ = Stage::Stream;
     engine_.streaming(order_.id, order_.attempt);  // from now on answer bytes go to the client
-    client->relayTo([weak = weak_from_this()] {
+    client->relayTo([weak = std::weak_ptr<NodeAttempt>(self())] {
         if (const auto self = weak.lock()) self->toNode();
     });
     stream(connection_->in.size());
@@ -130,7 +121,7 @@
     writingClient_ = true;
     client->socket().async_write_some(
         connection_->in.data(),
-        [self = shared_from_this(), client](const boost::system::error_code& error, std::size_t n) {
+        [self = self(), client](const boost::system::error_code& error, std::size_t n) {
             self->writingClient_ = false;
             if (self->over_) return;
             self->connection_->in.consume(n);
@@ -151,16 +142,15 @@
         return end(Outcome::Reset);
     }
     writingNode_ = true;
-    boost::asio::async_write(
-        connection_->socket, boost::asio::buffer(first),
-        [self = shared_from_this(), client](const boost::system::error_code& error, std::size_t n) {
-            self->writingNode_ = false;
-            if (self->over_) return;
-            if (error) return self->end(Outcome::Reset);
-            client->held().consume(n);
-            client->readOn();
-            self->toNode();
-        });
+    boost::asio::async_write(connection_->socket, boost::asio::buffer(first),
+                             [self = self(), client](const boost::system::error_code& error, std::size_t n) {
+                                 self->writingNode_ = false;
+                                 if (self->over_) return;
+                                 if (error) return self->end(Outcome::Reset);
+                                 client->held().consume(n);
+                                 client->readOn();
+                                 self->toNode();
+                             });
 }
 
 // Completed: the node's stream came to its end and the client has all of it.
@@ -188,14 +178,12 @@
 void NodeAttempt::clientLeft() { end(delivered() ? Outcome::Ok : Outcome::Cancelled); }
 
 void NodeAttempt::end(Outcome outcome) {
-    if (over_) return;
-    abandon();
-    engine_.ended({order_.id, order_.attempt, outcome, 0, 0, {}});
+    core::Ended how;
+    how.outcome = outcome;
+    net::NodeAttempt::end(std::move(how));
 }
 
-void NodeAttempt::abandon() {
-    over_ = true;
-    ticket_ = nullptr;
+void NodeAttempt::drop() {
     boost::system::error_code ignored;
     if (connection_) connection_->socket.close(ignored);  // its rings stay until the handlers have run
 }
--- a/src/rsync/node_client.h
+++ b/src/rsync/node_client.h
@@ -6,8 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "net/engine.h"
-#include "net/node_pool.h"
+#include "net/node_attempt.h"
 #include "rsync/codec.h"
 
 namespace wingproxy::rsync {
@@ -28,18 +27,18 @@
     Options options;
 };
 
-class NodeAttempt : public net::Attempt, public std::enable_shared_from_this<NodeAttempt> {
+class NodeAttempt : public net::NodeAttempt {
 public:
     NodeAttempt(net::Engine& engine, net::NodePool& pool, const net::AttemptOrder& order,
                 std::shared_ptr<const Order> transfer, std::weak_ptr<Client> client);
-    void start();
-    void abandon() override;
     bool delivered() const;  // the node's whole stream is with the client
     void clientLeft();       // the node need not go on for nobody
 
 private:
     enum class Stage { Greeting, Module, Arguments, Stream };
-    void connected(std::shared_ptr<net::Connection> connection);
+    void connected(std::shared_ptr<net::Connection> connection) override;
+    void drop() override;
+    std::shared_ptr<NodeAttempt> self();
     void say(const std::string& text);
     void write();
     void read();
@@ -50,12 +49,8 @@
     void finishIfWhole();
     void end(Outcome outcome);
 
-    net::Engine& engine_;
-    net::NodePool& pool_;
-    net::AttemptOrder order_;
     std::shared_ptr<const Order> transfer_;
     std::weak_ptr<Client> client_;
-    std::shared_ptr<net::NodePool::Ticket> ticket_;
     std::shared_ptr<net::Connection> connection_;
     Stage stage_ = Stage::Greeting;
     SenderStream sender_;
@@ -65,7 +60,6 @@
     std::string unsaid_;
     bool asked_ = false;  // the arguments' last byte was written: it may run
     bool saying_ = false, reading_ = false, writingClient_ = false, writingNode_ = false, nodeEnded_ = false;
-    bool over_ = false;
 };
 
 }  // namespace wingproxy::rsync
