Miss a silent discovery watch within 1.5 s and retry a failed call after 0.1 s

Checked by printing each call to discovery and its answer: one watch of all four fronts was never answered, and about a third of the answers broke off. Lines at fault: kWait = 10 s and kPatience = 2.5 s in src/net/discovery.cpp, so that a lost watch was missed after 12.5 s, and kListRetry = 0.5 s in src/policy.cpp, doubled after each further failure. Ruled out: the choice of node (each of those cells had one) and the time for which a refusing node is left alone.

Now a watch lasts 1 s and is missed 0.5 s later; the patience doubles up to 2.5 s while none is answered, so that a discovery that is only slow isn't asked faster than it answers. The first retry comes after 0.1 s.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -5,17 +5,17 @@
 namespace wingproxy::net {
 namespace {
 
-constexpr std::chrono::milliseconds kWait{10'000};          // how long a watch may stay quiet
-constexpr std::chrono::milliseconds kPatience{2'500};       // and how much later its answer counts as failed
 constexpr std::chrono::milliseconds kWholePatience{1'500};  // for a call that does not wait
 constexpr std::chrono::milliseconds kAgain{500};  // after a failed call that the module does not hear of
 constexpr std::size_t kMostList = 1024 * 1024;
 
 }  // namespace
 
-Discovery::Discovery(Engine& engine, const config::Endpoint& at)
+Discovery::Discovery(Engine& engine, const config::Endpoint& at, WatchTiming timing)
     : engine_(engine),
       at_(at),
+      timing_(timing),
+      patience_(timing.patience),
       pool_(engine.io(), {2, std::chrono::seconds(1), std::chrono::seconds(10)}),
       timeout_(engine.io()),
       again_(engine.io()) {
@@ -58,9 +58,11 @@
 void Discovery::call() {
     calling_ = true;
     ++counters_.calls;
-    timeout_.expires_after(whole_ ? kWholePatience : kWait + kPatience);
+    timeout_.expires_after(whole_ ? kWholePatience : timing_.wait + patience_);
     timeout_.async_wait([this](const boost::system::error_code& error) {
-        if (!error && calling_) fail("no answer in time");
+        if (error || !calling_) return;
+        patience_ = std::min(patience_ * 2, timing_.mostPatience);
+        fail("no answer in time");
     });
     ticket_ = pool_.acquire(at_, [this](std::shared_ptr<Connection> connection) {
         if (connection) send(std::move(connection));
@@ -70,7 +72,7 @@
 
 void Discovery::send(std::shared_ptr<Connection> connection) {
     const auto query =
-        whole_ ? "" : fmt::format("?after={}&wait_ms={}", engine_.listVersion(), kWait.count());
+        whole_ ? "" : fmt::format("?after={}&wait_ms={}", engine_.listVersion(), timing_.wait.count());
     auto request =
         fmt::format("GET /discovery/hosts{} HTTP/1.1\r\nHost: {}:{}\r\nAccept: application/json\r\n\r\n",
                     query, at_.host, at_.port);
@@ -93,6 +95,7 @@
         return fail("a malformed list");
     }
     ++counters_.answers;
+    patience_ = timing_.patience;
     whole_ = false;
     if (on_) call();  // at once: a watch goes on within 200 ms
 }
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -8,12 +8,18 @@
 
 namespace wingproxy::net {
 
+// A watch may be lost on its way: a short one is missed soon. An answer later than the patience counts as
+// lost; for a discovery that is only slow the patience doubles with each such call until one is answered.
+struct WatchTiming {
+    std::chrono::milliseconds wait{1'000}, patience{500}, mostPatience{2'500};
+};
+
 class Discovery {
 public:
     struct Counters {
         std::uint64_t calls = 0, answers = 0, failed = 0, malformed = 0;
     };
-    Discovery(Engine& engine, const config::Endpoint& at);
+    Discovery(Engine& engine, const config::Endpoint& at, WatchTiming timing = {});
     void watch(bool on);  // as the module asks; a running watch goes on
     // To another address at once: the call under way is abandoned and the whole list asked for there.
     void move(const config::Endpoint& to);
@@ -29,6 +35,8 @@
 
     Engine& engine_;
     config::Endpoint at_;
+    WatchTiming timing_;
+    std::chrono::milliseconds patience_;
     NodePool pool_;
     boost::asio::steady_timer timeout_, again_;
     std::shared_ptr<NodePool::Ticket> ticket_;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -73,7 +73,7 @@
 constexpr double kWaitCode = 8;             // steps of a told wait for each doubling: one byte holds any
 constexpr double kColdAhead = 0.5;        // of the push beyond its answers that the rule leaves a cold node
 constexpr Micros kColdMemories = 3;     // its answers are remembered for a third of the time it is cold
-constexpr Micros kListRetry = 500'000;      // first wait after a failed call to discovery; doubles
+constexpr Micros kListRetry = 100'000;      // first wait after a failed call to discovery; doubles
 constexpr double kRenewPart = 0.7;          // the list is asked for again in this part of its term
 // What was not asked for or listed for so long is forgotten: beyond any loan, any cold start and any word of
 // its use that a peer still counts.
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -546,6 +546,19 @@
     CHECK(rig.engine.listVersion() == 2);
 }
 
+// Discovery may take a call and say nothing: the list stays old until the call is missed. One that is only
+// slow must not be asked faster than it answers.
+TEST_CASE("discovery: a watch that is not answered is missed and asked again, with more patience") {
+    using std::chrono::milliseconds;
+    const net::WatchTiming watches{milliseconds(40), milliseconds(40), milliseconds(150)};
+    const auto start = std::chrono::steady_clock::now();
+    Rig rig(baseConfig(), 1, 64, net::kMostRing, watches);
+    const auto& counters = rig.discovery.counters();
+    rig.until([&] { return counters.failed == 3 && counters.calls == 4; });
+    CHECK(std::chrono::steady_clock::now() - start >= milliseconds(3 * 40 + 40 + 80 + 150));
+    rig.until([&] { return rig.discoveryServer.wires.back()->has("&wait_ms=40 "); });
+}
+
 // After SIGHUP the old address takes no more calls; what the new one has to tell counts soon.
 TEST_CASE(
     "discovery moves: the old call is abandoned, the new address asked for all, nodes and requests stay") {
--- a/tests/net_support.h
+++ b/tests/net_support.h
@@ -92,16 +92,20 @@
     return config::parseConfig(config::readFile(std::string(WINGPROXY_SOURCE) + "/tests/config.json"));
 }
 
+// The stand-in for discovery answers no watch by itself: none is missed while a test runs.
+constexpr net::WatchTiming kLongWatches{std::chrono::seconds(60), std::chrono::seconds(1),
+                                        std::chrono::seconds(1)};
+
 // A whole front but for the process: everything that main.cpp wires, on this loop.
 struct Rig {
     explicit Rig(config::Config c = baseConfig(), std::size_t nodeCount = 1, std::size_t mostClients = 64,
-                 std::size_t ring = net::kMostRing)
+                 std::size_t ring = net::kMostRing, net::WatchTiming watches = kLongWatches)
         : discoveryServer(io),
           config(prepare(std::move(c), nodeCount)),
           engine(io, config, logger),
           pool(io, {64, std::chrono::microseconds(config.connectTimeoutUs), std::chrono::seconds(15), ring}),
           rsyncPool(io, {16, std::chrono::microseconds(config.connectTimeoutUs), std::chrono::seconds(0)}),
-          discovery(engine, config.discovery),
+          discovery(engine, config.discovery, watches),
           peers(engine, config),
           front(engine, pool, config.listen, mostClients, ring),
           rsync(engine, rsyncPool, rsyncConfig(), 16) {
