Send to a draining node for 0.7 of the grace where its cell has no other

Ruled out: tokens (most refusals of limited volumes had tokens at hand), queues, cold nodes.

The module sends until 0.7 of the grace after the news. The reducer keeps when each drain was read and lets the first byte leave until 0.8 of the grace after that; the rest is for news not read yet. No grace where another node of the cell is ready, after a lost call (what it brings may count as told before), or in a whole list.

New ones: where a draining node serves on and where not, and the first byte's time counted from the first news.

--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -9,6 +9,8 @@
 // Part of the drain grace within which a decided attempt must write its first byte: the rest is for news that
 // was told to this host but not read yet.
 constexpr double kGracePart = 0.5;
+// And to a node that is known to drain within this part from when that was read.
+constexpr double kDrainPart = 0.8;
 
 }  // namespace
 
@@ -70,6 +72,10 @@
     for (const auto& node : in.list.nodes)
         if (node.state == NodeState::Gone) nodeCells_.erase(node.id);
         else nodeCells_[node.id] = node.cell;
+    for (const auto& node : in.list.nodes)
+        if (node.state == NodeState::Draining) drains_.try_emplace(node.id, now_);
+        else drains_.erase(node.id);
+    std::erase_if(drains_, [&](const auto& node) { return !nodeCells_.contains(node.first); });
     tell(in.list);
 }
 
@@ -183,6 +189,9 @@
     Micros firstByte = limits_.connectUs;
     if (settings_.drainGraceUs > 0)
         firstByte = std::min(firstByte, Micros(kGracePart * double(settings_.drainGraceUs)));
+    if (const auto drain = drains_.find(a.node); drain != drains_.end())
+        firstByte =
+            std::min(firstByte, drain->second + Micros(kDrainPart * double(settings_.drainGraceUs)) - now_);
     effects_.push_back(StartAttempt{a.id, attempt, a.node, now_ + firstByte, giveUpAt});
     alarms_.insert({giveUpAt, Due::AttemptTimeout, a.id, attempt});
     live.out.emplace(attempt, Attempt{a.node, now_, giveUpAt});
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -113,7 +113,7 @@
     std::size_t open() const { return open_; }  // requests without their final answer
     // Entries in all tables, the module's too.
     std::size_t kept() const {
-        return requests_.size() + alarms_.size() + nodeCells_.size() + policy_.kept();
+        return requests_.size() + alarms_.size() + nodeCells_.size() + drains_.size() + policy_.kept();
     }
     static constexpr Micros kNoWake = INT64_MAX;
 
@@ -172,6 +172,7 @@
     Policy policy_;
     Requests requests_;
     std::map<std::string, int, std::less<>> nodeCells_;  // of every node on the list
+    std::map<std::string, Micros, std::less<>> drains_;  // of those that drain: when that was read
     std::multiset<Alarm> alarms_;
     std::vector<Ended> moot_;  // told in the next batch, as the module expects
     Effects effects_;
--- a/src/peer_message.h
+++ b/src/peer_message.h
@@ -2,6 +2,8 @@
 // records mean and what is believed of them is in policy.cpp.
 #pragma once
 
+#include <algorithm>
+#include <cmath>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -28,6 +30,13 @@
     for (int i = 0; i < bytes; ++i) to += static_cast<char>(value >> (8 * i) & 255);
 }
 
+// A told wait, so many steps for each doubling: one byte holds any.
+constexpr double kWaitCode = 8;
+inline std::uint64_t waitCode(double us) {
+    return std::uint64_t(std::clamp(kWaitCode * std::log2(1 + us / 1000), 0.0, 255.0));
+}
+inline double waitOf(std::uint64_t code) { return 1000 * (std::exp2(double(code) / kWaitCode) - 1); }
+
 inline std::size_t sizeOf(Tag tag) { return std::size_t(1 + kWidths[tag][0] + kWidths[tag][1] + kWidths[tag][2]); }
 
 inline std::string header(std::uint64_t life) {
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -70,10 +70,10 @@
 // Weight of a report in the time that each request out adds to a wait: over about fifty, so that a pause of
 // a node is not taken for its pace. From nothing, so that the first few say little.
 constexpr double kPaceSmooth = 0.02;
-constexpr double kWaitCode = 8;             // steps of a told wait for each doubling: one byte holds any
 constexpr double kColdAhead = 0.5;        // of the push beyond its answers that the rule leaves a cold node
 constexpr Micros kColdMemories = 3;     // its answers are remembered for a third of the time it is cold
 constexpr Micros kListRetry = 100'000;      // first wait after a failed call to discovery; doubles
+constexpr double kDrainPart = 0.7;          // of its grace a node serves on where its cell has no other yet
 constexpr double kRenewPart = 0.7;          // the list is asked for again in this part of its term
 // What was not asked for or listed for so long is forgotten: beyond any loan, any cold start and any word of
 // its use that a peer still counts.
@@ -174,19 +174,8 @@
         settledAt = now;
     }
 
-    // Chunks on loan, but for one peer's: of each the largest grant still running at the last refill, so
-    // that a chunk never fills two buckets for the same time.
-    int lentOf(const Volume& v, int except = -1) const {
-        std::map<int, int> most;
-        for (const auto& l : v.lent)
-            if (l.until > v.tokensAt && l.peer != except) most[l.peer] = std::max(most[l.peer], l.count);
-        int sum = 0;
-        for (const auto& [peer, count] : most) sum += count;
-        return sum;
-    }
-
     int chunksHeld(const Volume& v) const {
-        int n = settled() || v.hosts == 1 ? std::max(0, v.home - lentOf(v)) : 0;
+        int n = settled() || v.hosts == 1 ? std::max(0, v.home - v.lentBut(-1)) : 0;
         for (const auto& [peer, b] : v.borrowed)
             if (b.until > now) n += b.count;
         return n;
@@ -273,10 +262,10 @@
             refill(v);
             const double own = std::max(0.0, demandOf(v) - v.baseRate);
             const int keep = std::min(v.home, int(std::ceil(own / v.chunkRate)));
-            const int grant = std::clamp(v.home - lentOf(v, peer) - keep, 0, int(ask.b));
+            const int grant = std::clamp(v.home - v.lentBut(peer) - keep, 0, int(ask.b));
             if (grant == 0) continue;
             // What a chunk newly lent has saved up goes with it, so that the busy host can use the burst.
-            const int fresh = std::max(0, grant - (lentOf(v) - lentOf(v, peer)));
+            const int fresh = std::max(0, grant - (v.lentBut(-1) - v.lentBut(peer)));
             const double part = fresh * v.chunkCap / (v.baseCap + std::max(1, chunksHeld(v)) * v.chunkCap);
             const auto saved = std::uint64_t(std::clamp(v.tokens * std::min(1.0, part) * 16, 0.0, 65535.0));
             v.tokens -= double(saved) / 16;
@@ -341,15 +330,10 @@
         s.told = {rate, now};
         s.toldOut = out;
         const auto word = std::uint64_t(std::min(65535.0, rate * 16));
-        const auto state = waitCode(waited) | std::uint64_t(std::min(out, 255)) << 8;
+        const auto state = peer::waitCode(waited) | std::uint64_t(std::min(out, 255)) << 8;
         tell(int(key % std::uint32_t(set.hosts)), {join ? peer::kJoin : peer::kUse, key, word, state});
     }
 
-    static std::uint64_t waitCode(double us) {
-        return std::uint64_t(std::clamp(kWaitCode * std::log2(1 + us / 1000), 0.0, 255.0));
-    }
-    static double waitOf(std::uint64_t code) { return 1000 * (std::exp2(double(code) / kWaitCode) - 1); }
-
     double aged(const Rate& wait) const { return std::max(0.0, wait.value - kDrain * double(now - wait.at)); }
 
     void hear(int from, const peer::Record& r) {
@@ -362,7 +346,7 @@
             else if (int(r.b) < set.hosts && int(r.b) != set.host) s.peers.insert(int(r.b));
             for (std::size_t i = 0; s.cell >= 0 && r.c > 0 && i < cells[s.cell].nodes.size(); ++i) {
                 Node& n = nodes.at(cells[s.cell].nodes[i]);
-                n.latency = floorOf(n) * n.units + waitOf(r.c);
+                n.latency = floorOf(n) * n.units + peer::waitOf(r.c);
                 n.heardAt = now;
             }
             return;
@@ -375,7 +359,7 @@
                 tell(from, {peer::kMember, key, std::uint64_t(other), 0});
                 tell(other, {peer::kMember, key, std::uint64_t(from), 0});
             }
-        if (const double waited = waitOf(r.c & 255); waited > 0) {
+        if (const double waited = peer::waitOf(r.c & 255); waited > 0) {
             roll.waits += kPaceSmooth * (waited - roll.waits);
             roll.outs += kPaceSmooth * (sumOf(roll).out - roll.outs);
         }
@@ -395,7 +379,7 @@
     void tellOthers(std::uint32_t key, const Roll& roll, int to) {
         const double others = sumOf(roll).use.value - roll.members.at(to).use.get(now, kTellMemory);
         const auto word = std::uint64_t(std::clamp(others * 16, 0.0, 65535.0));
-        tell(to, {peer::kOthers, key, word, waitCode(waitFor(roll))});
+        tell(to, {peer::kOthers, key, word, peer::waitCode(waitFor(roll))});
     }
 
     void tellRolls() {
@@ -422,6 +406,12 @@
         return n.info.startedUs > 0 && now - n.info.startedUs < set.warmAfterUs;
     }
 
+    // A draining node serves on for a part of the grace where its cell has no other: what it turns away is no
+    // worse off, and its successor is listed a second or two later.
+    bool takes(const Node& n) const {
+        return n.ready() || (n.listed && now < n.servesUntil && cells[std::size_t(n.info.cell)].ready == 0);
+    }
+
     bool stalled(const Node& n) const {
         const double patience = std::max(double(kStallLeast), kStallLatencies * n.latency);
         return now < n.downUntil || (n.out > 0 && double(now - n.progressAt) > patience);
@@ -594,7 +584,7 @@
         for (auto& c : cells) {
             double wait = kNoLevel, least = 0;
             for (const int i : c.nodes)
-                if (const Node& n = nodes.at(i); n.info.state == NodeState::Ready && latencyOf(n) < wait) {
+                if (const Node& n = nodes.at(i); n.ready() && latencyOf(n) < wait) {
                     wait = latencyOf(n);
                     least = kStretch * floorOf(n) * n.units;
                 }
@@ -625,7 +615,7 @@
             for (const auto& [key, r] : cells[i].held) ahead += r->info.units;
             for (const int index : cells[i].nodes) {
                 Node& n = nodes.at(index);
-                if (!n.listed || n.info.state != NodeState::Ready) continue;
+                if (!n.ready()) continue;
                 double wait = latencyOf(n) * (1 + std::max(0.0, n.out + 1 - boundOf(n)) / boundOf(n)) +
                               ahead * 1e6 / unitRate(n);
                 // What fails there may be tried again in its cell only.
@@ -659,7 +649,7 @@
         for (const int i : c.nodes) {
             Node& n = nodes.at(i);
             const bool suspect = stalled(n);
-            if (!n.listed || n.info.state != NodeState::Ready) continue;
+            if (!takes(n)) continue;
             if (suspect ? now - n.trickleAt < kTrickleGap : n.out > 0 && n.out + 1 > boundOf(n)) continue;
             if (latencyOf(n) > patience(r)) continue;
             if (!maySend(r, i)) continue;
@@ -695,7 +685,7 @@
         double rate = 1e-3, latency = 0;
         for (const int i : c.nodes) {
             const Node& n = nodes.at(i);
-            if (!n.listed || n.info.state != NodeState::Ready) continue;
+            if (!takes(n)) continue;
             // A suspect answers no sooner than it is tried.
             rate += stalled(n) ? n.units * 1e6 / double(kTrickleGap) : unitRate(n);
             const double wait = latencyOf(n) + std::max(0.0, double(n.downUntil - now));
@@ -762,7 +752,7 @@
         if (r.maybeRun && effect == Effect::AtMostOnce) return false;                           // 2
         if (r.maybeRun && effect == Effect::Deduplicated &&
             (!sameGroup(r, n) || now >= r.firstMaybeRun + r.cls->windowUs)) return false;
-        if (!n.listed || n.info.state != NodeState::Ready) return false;                        // 3
+        if (!takes(n)) return false;                                                            // 3
         if (r.info.cell >= 0 && r.info.cell != n.info.cell) return false;
         if (!coldTakes(n, r.info.units)) return false;                                          // 4
         if (!r.tookTokens && r.volume->limited) {                                               // 5
@@ -831,7 +821,7 @@
         }
         for (const auto& [seq, cancel] : lost) act(cancel);
         for (const int i : unsure)
-            if (Node& n = nodes[i]; set.mayProbe && n.info.state == NodeState::Ready)   // 3: nothing new else
+            if (Node& n = nodes[i]; set.mayProbe && n.ready())   // 3: nothing new else
                 n.probedAt = now, act(ProbeNode{n.info.id});
     }
 
@@ -930,6 +920,7 @@
             lastList = now;
             return;
         }
+        const bool late = listWait > 0;     // what is told now may count as told before
         if (list.kind != ListKind::Saved) listWait = 0;
         if (list.kind != ListKind::Delta)
             for (auto& n : nodes) n.listed = false;
@@ -947,10 +938,16 @@
                 n.progressAt = n.floorAt = n.coldAt = now;
                 n.coldDraw = double(peer::hashOf(info.id + std::to_string(set.seed)) % 1024) / 1024;
             }
+            const bool drains = n.ready() && info.state == NodeState::Draining && !late;
+            if (drains) n.servesUntil = now + Micros(kDrainPart * double(set.drainGraceUs));
             n.info = info;
             n.listed = info.state != NodeState::Gone;
         }
-        for (std::size_t i = 0; i < cells.size(); ++i) dirty.insert(int(i));
+        for (std::size_t i = 0; i < cells.size(); ++i) {
+            const auto& in = cells[i].nodes;
+            cells[i].ready = std::count_if(in.begin(), in.end(), [&](int n) { return nodes[n].ready(); });
+            dirty.insert(int(i));
+        }
     }
 
     // ------------------------------------------------------------ the batch
--- a/src/state.h
+++ b/src/state.h
@@ -1,6 +1,7 @@
 // What the decision module keeps: plain types, no decision and no tuned value (those are in policy.cpp).
 #pragma once
 
+#include <algorithm>
 #include <cmath>
 #include <deque>
 #include <map>
@@ -61,6 +62,16 @@
     double baseRate = 0, baseCap = 0, chunkRate = 0, chunkCap = 0;
     int home = 0;                       // chunks that live here
     std::vector<Loan> lent;
+    // Chunks on loan, but for one peer's: of each the largest grant still running at the last refill, so that
+    // a chunk never fills two buckets for the same time.
+    int lentBut(int except) const {
+        std::map<int, int> most;
+        for (const auto& l : lent)
+            if (l.until > tokensAt && l.peer != except) most[l.peer] = std::max(most[l.peer], l.count);
+        int sum = 0;
+        for (const auto& [peer, count] : most) sum += count;
+        return sum;
+    }
     std::map<int, Borrow> borrowed;     // by home host
 };
 
@@ -74,8 +85,9 @@
     double floorNow = 0, floorOld = 0;
     Micros floorAt = 0, progressAt = 0, shrunkAt = kNever, trickleAt = kNever, heardAt = kNever, newestSent = kNever,
            probedAt = kNever;
-    Micros downUntil = kNever, listedAt = kNever;
+    Micros downUntil = kNever, listedAt = kNever, servesUntil = kNever;     // servesUntil: while it drains
     int failures = 0;
+    bool ready() const { return listed && info.state == NodeState::Ready; }
     Rate proven;                        // answered while cold
     std::deque<std::pair<Micros, double>> coldSends;
     Micros coldAt = 0;                  // when its turn last came nearer
@@ -98,6 +110,7 @@
 
 struct Cell {
     std::vector<int> nodes;
+    std::ptrdiff_t ready = 0;           // of them
     std::map<std::pair<Micros, std::uint64_t>, Pending*> held;  // earliest due first
     Shared* shared = nullptr;           // units due that are asked of it
     std::uint32_t key = 0;
--- a/tests/reducer_test.cpp
+++ b/tests/reducer_test.cpp
@@ -129,12 +129,20 @@
     const auto start = of<StartAttempt>(m.take(1)).at(0);
     CHECK(start.firstByteBy - m.now <= test::settings().drainGraceUs / 2);
     CHECK(start.giveUpAt == m.now + 2'000 * kMs);
+    // Already told to drain, it serves on for a while: counted from when that was read, again or not.
+    const auto told = m.now;
+    m.put(News{test::nodes({test::node("n0", 0, NodeState::Draining)}, ListKind::Delta)});
+    m.wakeAt(told + test::settings().drainGraceUs / 2);
+    m.put(News{test::nodes({test::node("n0", 0, NodeState::Draining)}, ListKind::Delta)});
+    const auto last = of<StartAttempt>(m.take(2)).at(0);
+    CHECK(last.firstByteBy == told + test::settings().drainGraceUs * 8 / 10);
 }
 
 TEST_CASE("nothing new goes to a node that drains or is gone") {
     for (const auto state : {NodeState::Draining, NodeState::Gone}) {
         Machine m;
         m.put(News{test::nodes({test::node("n0", 0, state)}, ListKind::Delta)});
+        m.wakeAt(m.now + test::settings().drainGraceUs);
         CHECK(of<StartAttempt>(m.take(1)).empty());
         for (int t = 0; t < 300; ++t) CHECK(of<StartAttempt>(m.wakeAt(m.now + 10 * kMs)).empty());
         CHECK(m.state.open() == 0);  // and yet it was answered
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -86,9 +86,32 @@
     EXPECT_EQ(only<Fail>(late).size(), 1u);
 }
 
+// Its successor is listed a second or two later: without the grace the cell has no node meanwhile.
+TEST(Rules, ADrainingNodeServesOnWithinTheGraceWhereItsCellHasNoOther) {  // rule 3
+    const auto goes = [](Micros after, std::vector<NodeInfo> more = {}, ListKind before = ListKind::Delta,
+                         ListKind kind = ListKind::Delta) {
+        Host h = ready();
+        if (before == ListKind::Lost) h.batch({nodes({}, ListKind::Lost)});
+        more.push_back(node("a", 0, NodeState::Draining));
+        h.batch({nodes(more, kind)});
+        h.runTo(h.now + after);
+        const auto sends = only<Send>(h.batch({request(1, 0, 1, h.now)}));
+        return sends.empty() ? std::string() : sends[0].node;
+    };
+    const Micros grace = settings().drainGraceUs;
+    EXPECT_EQ(goes(0), "a");
+    EXPECT_EQ(goes(grace * 6 / 10), "a");
+    EXPECT_EQ(goes(grace * 8 / 10), "");
+    EXPECT_EQ(goes(0, {node("c", 0)}), "c");
+    // Lists that came late may have been told before: after a lost call, or all anew.
+    EXPECT_EQ(goes(0, {}, ListKind::Lost), "");
+    EXPECT_EQ(goes(0, {}, ListKind::Delta, ListKind::Full), "");
+}
+
 TEST(Rules, NothingGoesToADrainingOrGoneNode) {  // rule 3
     Host h = ready();
     h.batch({nodes({node("a", 0, NodeState::Draining)}, ListKind::Delta)});
+    h.runTo(h.now + settings().drainGraceUs);
     EXPECT_EQ(only<Send>(h.batch({request(1, 0, 1, h.now)})).size(), 0u);
     h.batch({nodes({node("c", 0)}, ListKind::Delta)});  // its successor takes the held request
     const auto sends = only<Send>(h.batch({request(2, 0, 1, h.now)}));
