Answer a grant of fewer chunks with a return, and an ask for none to lend with none

A trace of both hosts' leases each 250 ms showed the home with 6 or 9 chunks lent and the borrower with 1 or 3 of them: the rest was with nobody.

Cause: on(PeerMessage) in src/policy.cpp took a smaller grant and said nothing, so that lentBut() went on counting the larger one until its term, up to 2 s; and serveAsks() said nothing at all where it had nothing left to lend. Ruled out: the margin of the claims, overflowing buckets, lost messages.

The borrower now returns the difference at once, and a home that has chunks out at the asker grants 0 as well. The loan still ends at the borrower first, as it stops using the difference before it says so.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -263,7 +263,7 @@
             const double own = std::max(0.0, demandOf(v) - v.baseRate);
             const int keep = std::min(v.home, int(std::ceil(own / v.chunkRate)));
             const int grant = std::clamp(v.home - v.lentBut(peer) - keep, 0, int(ask.b));
-            if (grant == 0) continue;
+            if (grant == 0 && v.lentBut(-1) == v.lentBut(peer)) continue;
             // What a chunk newly lent has saved up goes with it, so that the busy host can use the burst.
             const int fresh = std::max(0, grant - (v.lentBut(-1) - v.lentBut(peer)));
             const double part = fresh * v.chunkCap / (v.baseCap + std::max(1, chunksHeld(v)) * v.chunkCap);
@@ -304,6 +304,9 @@
                     const auto b = v.borrowed.find(m.from);
                     if (b == v.borrowed.end() || !b->second.open || b->second.stamp != r.c) continue;
                     b->second.open = false;
+                    // The home counts what it lent before until it hears that no more than this is used.
+                    if (b->second.until > now && int(r.b & 255) < b->second.count)
+                        tell(m.from, {peer::kReturn, v.hash, r.b & 255, r.c});
                     b->second.count = std::min(int(r.b & 255), v.home);
                     b->second.until = b->second.askedAt + kLease;
                     if (b->second.until > now) v.tokens += double(r.b >> 8) / 16;
--- a/tests/lease_test.cpp
+++ b/tests/lease_test.cpp
@@ -126,6 +126,20 @@
     EXPECT_GE(f.lowest, 0);
 }
 
+// A home that grants less than before may use the difference only once the borrower has said that it doesn't.
+TEST(Leases, AGrantOfFewerChunksFreesTheOthersAtOnce) {
+    double sum = 0;
+    for (int round = 0; round < 5; ++round) {
+        Fleet f(3, 7 + std::uint64_t(round));
+        f.run(6 * kSecond, {{0, 60}, {1, 1}, {2, 1}});
+        f.sent.clear();
+        for (const double rate : {2, 3, 4, 5, 6, 7}) f.run(kSecond / 2, {{0, 60}, {1, rate}, {2, rate}});
+        sum += f.sent[0] + f.sent[1] + f.sent[2];
+        EXPECT_GE(f.lowest, 0);
+    }
+    EXPECT_GT(sum, 5 * 3 * 20 * 0.95);     // of the limit
+}
+
 // A volume that is asked for at one host alone is not forgotten at the others: they lend their part of it.
 TEST(Leases, AHostThatIsNotAskedForAVolumeGoesOnLending) {
     Fleet f(3);
