--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -108,6 +108,22 @@
     EXPECT_EQ(goes(0, {}, ListKind::Delta, ListKind::Full), "");
 }
 
+// While discovery fails now and then the list must not stay old for long; while it is down it isn't pressed.
+TEST(Rules, AFailedCallToDiscoveryIsRepeatedSoonAndThenLater) {
+    Settings set = settings();
+    set.listOnRequest = true;
+    set.askEveryUs = 10 * kSecond;
+    Host h = ready(set);
+    const auto askedWithin = [&](Micros span) { return only<WatchList>(h.runTo(h.now + span)).size(); };
+    h.batch({nodes({}, ListKind::Lost)});
+    EXPECT_EQ(askedWithin(150 * kMs), 1u);
+    for (int i = 0; i < 5; ++i) h.batch({nodes({}, ListKind::Lost)});
+    EXPECT_EQ(askedWithin(2 * kSecond), 0u);
+    EXPECT_EQ(askedWithin(2 * kSecond), 1u);
+    h.batch({nodes({node("a", 0)}, ListKind::Delta), nodes({}, ListKind::Lost)});   // answered: as at first
+    EXPECT_EQ(askedWithin(150 * kMs), 1u);
+}
+
 TEST(Rules, NothingGoesToADrainingOrGoneNode) {  // rule 3
     Host h = ready();
     h.batch({nodes({node("a", 0, NodeState::Draining)}, ListKind::Delta)});
