Count the chunks on loan once for each ask, and read the node list in one loop

serveAsks() built the map of loans up to four times for one ask: now once for the others' and once for all. lentBut(-1) is lentChunks() again, without the magic number at each call. State::take(News) walked the same list twice. discovery.cpp includes what it uses.

--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -69,12 +69,12 @@
 
 void State::take(News in) {
     if (in.list.kind == ListKind::Full || in.list.kind == ListKind::Saved) nodeCells_.clear();
-    for (const auto& node : in.list.nodes)
+    for (const auto& node : in.list.nodes) {
         if (node.state == NodeState::Gone) nodeCells_.erase(node.id);
         else nodeCells_[node.id] = node.cell;
-    for (const auto& node : in.list.nodes)
         if (node.state == NodeState::Draining) drains_.try_emplace(node.id, now_);
         else drains_.erase(node.id);
+    }
     std::erase_if(drains_, [&](const auto& node) { return !nodeCells_.contains(node.first); });
     tell(in.list);
 }
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace wingproxy::net {
 namespace {
 
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -54,8 +54,7 @@
 constexpr Micros kErrorMemory = 5'000'000;
 // An answer is lost, or its connection fell silent, when the node has answered what was sent later: after
 // this part of the shortest aim, for another attempt to be in time, and this multiple of what it takes there.
-constexpr double kLostPart = 0.5;
-constexpr double kLostTimes = 4;
+constexpr double kLostPart = 0.5, kLostTimes = 4;
 // So much older, where the node got nothing later from here, it is probed: a probe waits there as a request.
 constexpr double kProbeTimes = 1.5;
 constexpr Micros kTrickleGap = 300'000;     // a suspect still gets one request this often: shows recovery
@@ -175,7 +174,7 @@
     }
 
     int chunksHeld(const Volume& v) const {
-        int n = settled() || v.hosts == 1 ? std::max(0, v.home - v.lentBut(-1)) : 0;
+        int n = settled() || v.hosts == 1 ? std::max(0, v.home - v.lentChunks()) : 0;
         for (const auto& [peer, b] : v.borrowed)
             if (b.until > now) n += b.count;
         return n;
@@ -262,10 +261,11 @@
             refill(v);
             const double own = std::max(0.0, demandOf(v) - v.baseRate);
             const int keep = std::min(v.home, int(std::ceil(own / v.chunkRate)));
-            const int grant = std::clamp(v.home - v.lentBut(peer) - keep, 0, int(ask.b));
-            if (grant == 0 && v.lentBut(-1) == v.lentBut(peer)) continue;
+            const int toOthers = v.lentChunks(peer), toPeer = v.lentChunks() - toOthers;
+            const int grant = std::clamp(v.home - toOthers - keep, 0, int(ask.b));
+            if (grant == 0 && toPeer == 0) continue;
             // What a chunk newly lent has saved up goes with it, so that the busy host can use the burst.
-            const int fresh = std::max(0, grant - (v.lentBut(-1) - v.lentBut(peer)));
+            const int fresh = std::max(0, grant - toPeer);
             const double part = fresh * v.chunkCap / (v.baseCap + std::max(1, chunksHeld(v)) * v.chunkCap);
             const auto saved = std::uint64_t(std::clamp(v.tokens * std::min(1.0, part) * 16, 0.0, 65535.0));
             v.tokens -= double(saved) / 16;
--- a/src/state.h
+++ b/src/state.h
@@ -64,7 +64,7 @@
     std::vector<Loan> lent;
     // Chunks on loan, but for one peer's: of each the largest grant still running at the last refill, so that
     // a chunk never fills two buckets for the same time.
-    int lentBut(int except) const {
+    int lentChunks(int except = -1) const {
         std::map<int, int> most;
         for (const auto& l : lent)
             if (l.until > tokensAt && l.peer != except) most[l.peer] = std::max(most[l.peer], l.count);
