--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -9,9 +9,10 @@
 namespace wingproxy::net {
 
 // A watch may be lost on its way: a short one is missed soon. An answer later than the patience counts as
-// lost; for a discovery that is only slow the patience doubles with each such call until one is answered.
+// lost. A call anew waits for its turn among those of all fronts, which discovery allows 2 s: it must hear
+// of that end, as a call that is left sooner keeps its place there and the next one waits behind it.
 struct WatchTiming {
-    std::chrono::milliseconds wait{1'000}, patience{500}, mostPatience{2'500};
+    std::chrono::milliseconds wait{1'000}, patience{500}, patienceAnew{2'500};
 };
 
 class Discovery {
@@ -36,13 +37,13 @@
     Engine& engine_;
     config::Endpoint at_;
     WatchTiming timing_;
-    std::chrono::milliseconds patience_;
     NodePool pool_;
     boost::asio::steady_timer timeout_, again_;
     std::shared_ptr<NodePool::Ticket> ticket_;
     std::shared_ptr<Exchange> exchange_;
     bool on_ = false, calling_ = false;
-    bool whole_ = false;  // the next call asks for the whole list, and does not wait
+    bool goesOn_ = false;  // the next call follows an answer: it takes up a watch, and waits in no queue
+    bool whole_ = false;   // the next call asks for the whole list, and does not wait
     Counters counters_;
 };
 
--- a/src/peer_message.h
+++ b/src/peer_message.h
@@ -17,6 +17,10 @@
     return h;
 }
 
+// From 0 to 1, the same for the same text.
+inline double drawOf(const std::string& text) { return double(hashOf(text) % 1024) / 1024; }
+inline double drawOf(std::uint64_t number) { return drawOf(std::to_string(number)); }
+
 enum Tag : std::uint8_t { kUse = 1, kAsk, kGrant, kReturn, kHello, kWelcome, kJoin, kOthers, kMember };
 struct Record {
     std::uint8_t tag;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -72,6 +72,8 @@
 constexpr double kColdAhead = 0.5;        // of the push beyond its answers that the rule leaves a cold node
 constexpr Micros kColdMemories = 3;     // its answers are remembered for a third of the time it is cold
 constexpr Micros kListRetry = 100'000;      // first wait after a failed call to discovery; doubles
+constexpr Micros kListTurn = 25'000;    // calls anew of more hosts than these leave so far apart, on average
+constexpr int kListFew = 8;             // today's most: it answers in turn, and fails what waits too long
 constexpr double kDrainPart = 0.7;          // of its grace a node serves on where its cell has no other yet
 constexpr double kRenewPart = 0.7;          // the list is asked for again in this part of its term
 // What was not asked for or listed for so long is forgotten: beyond any loan, any cold start and any word of
@@ -87,7 +89,7 @@
 struct Policy::Impl {
     Settings set;
     Micros now = 0, startedAt = 0, settledAt = -kNever, lastTell = kNever, lastHello = kNever;
-    Micros lastForget = kNever, lastList = kNever, listWait = 0, shortestAim = 0;
+    Micros lastForget = kNever, nextList = 0, listWait = 0, shortestAim = 0;
     std::uint32_t life = 0;             // tells this run of the host from the one before
     std::uint64_t nextSeq = 0;
     std::vector<Action> actions;
@@ -115,8 +117,8 @@
         shortestAim = set.shortestAim();
         if (shortestAim == 0) shortestAim = kNoAim;
         act(SetTimer{kTick, kTickToken});
-        if (set.listOnRequest) watch();
-        settle();
+        nextList = now + spread(listTurn());
+        watch(), settle();
         hello();
     }
 
@@ -349,7 +351,7 @@
             else if (int(r.b) < set.hosts && int(r.b) != set.host) s.peers.insert(int(r.b));
             for (std::size_t i = 0; s.cell >= 0 && r.c > 0 && i < cells[s.cell].nodes.size(); ++i) {
                 Node& n = nodes.at(cells[s.cell].nodes[i]);
-                n.latency = floorOf(n) * n.units + peer::waitOf(r.c);
+                n.latency = n.floor() * n.units + peer::waitOf(r.c);
                 n.heardAt = now;
             }
             return;
@@ -423,11 +425,7 @@
     double latencyOf(const Node& n) const {
         if (n.latency <= 0) return double(shortestAim) / 4;
         const double left = n.latency - kDrain * double(now - n.heardAt);
-        return std::max(std::min(n.latency, floorOf(n) * n.units), left);
-    }
-
-    double floorOf(const Node& n) const {
-        return n.floorOld > 0 ? std::min(n.floorOld, n.floorNow) : n.floorNow;
+        return std::max(std::min(n.latency, n.floor() * n.units), left);
     }
 
     // Whether this host may send a cold node so many units: in the rule's span what it answered and a
@@ -503,7 +501,7 @@
         const double weight = std::max(kSmooth, 1 - std::exp2(-old));
         n.progressAt = n.heardAt = now;
         // Told is what it took beyond the least for its size, and never nothing.
-        const double waited = double(took) - floorOf(n) * r.info.units;
+        const double waited = double(took) - n.floor() * r.info.units;
         tellCell(cellAt(n.info.cell), std::max(waited, double(kTick) / 100));
         n.latency += (n.latency > 0 ? weight : 1) * (double(took) - n.latency);
         n.units += kSmooth * (r.info.units - n.units);
@@ -513,7 +511,7 @@
             n.floorAt = now;
         }
         n.floorNow = n.floorNow > 0 ? std::min(n.floorNow, n.perUnit) : n.perUnit;
-        if (n.perUnit > kStretch * floorOf(n) || n.latency > kAimPart * double(shortestAim)) {
+        if (n.perUnit > kStretch * n.floor() || n.latency > kAimPart * double(shortestAim)) {
             if (double(now - n.shrunkAt) < n.latency) return;
             n.bound = std::max(1.0, n.bound * kShrink);
             n.shrunkAt = now;
@@ -589,7 +587,7 @@
             for (const int i : c.nodes)
                 if (const Node& n = nodes.at(i); n.ready() && latencyOf(n) < wait) {
                     wait = latencyOf(n);
-                    least = kStretch * floorOf(n) * n.units;
+                    least = kStretch * n.floor() * n.units;
                 }
             const double aim = double(shortestAim), rise = wait <= least ? kLevelIdle : kLevelRise;
             c.most *= kMostMemory;
@@ -915,18 +913,24 @@
 
     // ------------------------------------------------------------ membership
 
-    void watch() { lastList = now; act(WatchList{true}); }
+    void watch() {
+        if (!set.listOnRequest || now < nextList) return;
+        nextList = set.askEveryUs > 0 ? now + Micros(kRenewPart * double(set.askEveryUs)) : -kNever;
+        act(WatchList{true});
+    }
+
+    Micros listTurn() const { return std::min(std::max(0, set.hosts - kListFew) * kListTurn, set.askEveryUs / 2); }
+    Micros spread(Micros span) const { return Micros(double(span) * peer::drawOf(set.seed + now)); }
 
     void on(const NodeList& list) {
         if (list.kind == ListKind::Lost) {
-            listWait = std::clamp(listWait * 2, kListRetry, std::max(kListRetry, set.askEveryUs / 4));
-            lastList = now;
+            listWait = std::max({kListRetry, listTurn(), std::min(listWait * 2, set.askEveryUs / 4)});
+            nextList = now + listWait - spread(std::min(listWait / 2, listTurn()));
             return;
         }
         const bool late = listWait > 0;     // what is told now may count as told before
         if (list.kind != ListKind::Saved) listWait = 0;
-        if (list.kind != ListKind::Delta)
-            for (auto& n : nodes) n.listed = false;
+        if (list.kind != ListKind::Delta) for (auto& n : nodes) n.listed = false;
         for (const auto& info : list.nodes) {
             if (unusedNodes.empty()) unusedNodes.push_back(int(nodes.size())), nodes.emplace_back();
             const auto [it, fresh] = nodeIndex.try_emplace(info.id, unusedNodes.back());
@@ -939,7 +943,7 @@
                 n = Node(n.out);
                 n.bound = kFirstBound;
                 n.progressAt = n.floorAt = n.coldAt = now;
-                n.coldDraw = double(peer::hashOf(info.id + std::to_string(set.seed)) % 1024) / 1024;
+                n.coldDraw = peer::drawOf(info.id + std::to_string(set.seed));
             }
             const bool drains = n.ready() && info.state == NodeState::Draining && !late;
             if (drains) n.servesUntil = now + Micros(kDrainPart * double(set.drainGraceUs));
@@ -1011,12 +1015,8 @@
     void tick() {
         act(SetTimer{kTick, kTickToken});
         if (now - lastForget >= kForgetEvery) forget();
-        settle();
+        settle(), watch();
         if (now - lastHello >= kHelloGap) hello();
-        if (set.listOnRequest) {
-            const Micros term = listWait > 0 ? listWait : Micros(kRenewPart * double(set.askEveryUs));
-            if (term > 0 && now - lastList >= term) watch();
-        }
         if (set.mayCancel) dropLost();
         for (auto& [name, v] : volumes) lease(v);
         if (now - lastTell >= kTellEvery / 2) {
--- a/src/state.h
+++ b/src/state.h
@@ -88,6 +88,7 @@
     Micros downUntil = kNever, listedAt = kNever, servesUntil = kNever;     // servesUntil: while it drains
     int failures = 0;
     bool ready() const { return listed && info.state == NodeState::Ready; }
+    double floor() const { return floorOld > 0 ? std::min(floorOld, floorNow) : floorNow; }
     Rate proven;                        // answered while cold
     std::deque<std::pair<Micros, double>> coldSends;
     Micros coldAt = 0;                  // when its turn last came nearer
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -124,6 +124,39 @@
     EXPECT_EQ(askedWithin(150 * kMs), 1u);
 }
 
+// Discovery answers all fronts in turn: when many start at once, or their calls failed at once, they must not
+// come back at once. What it can't answer in time has failed, and is asked again on top of the others. Checked:
+// in no tenth of a second do more than a twelfth of 300 fronts call, and each one calls within the rule's term.
+TEST(Rules, ManyHostsCallDiscoveryOneAfterAnother) {
+    constexpr int kHosts = 300;
+    std::map<Micros, int> first, again;     // calls by tenth of a second
+    for (int i = 0; i < kHosts; ++i) {
+        Settings set = settings(i, kHosts);
+        set.seed = 0x9e3779b97f4a7c15ull * std::uint64_t(i + 1);
+        set.listOnRequest = true;
+        set.askEveryUs = 10 * kSecond;
+        Host h(set, kStart);
+        h.batch({nodes({}, ListKind::Saved)});
+        const auto called = [&](std::map<Micros, int>& when) {
+            const Micros since = h.now;
+            while (only<WatchList>(h.runTo(h.now + 10 * kMs)).empty())
+                ASSERT_LT(h.now - since, set.askEveryUs) << "host " << i;
+            ++when[(h.now - kStart) / (100 * kMs)];
+        };
+        called(first);
+        h.runTo(kStart + 12 * kSecond);
+        h.batch({nodes({}, ListKind::Lost)});
+        called(again);
+    }
+    const auto most = [](const std::map<Micros, int>& when) {
+        int calls = 0;
+        for (const auto& [tenth, n] : when) calls = std::max(calls, n);
+        return calls;
+    };
+    EXPECT_LE(most(first), kHosts / 12);
+    EXPECT_LE(most(again), kHosts / 12);
+}
+
 TEST(Rules, NothingGoesToADrainingOrGoneNode) {  // rule 3
     Host h = ready();
     h.batch({nodes({node("a", 0, NodeState::Draining)}, ListKind::Delta)});
