--- a/tests/reducer_test.cpp
+++ b/tests/reducer_test.cpp
@@ -176,3 +176,53 @@
     m.now -= 5 * kMs;  // an input stamped earlier than the last
     CHECK(of<StartAttempt>(m.take(1)).size() == 1);
 }
+
+// What is harmless in one of 4 fronts must stay so in one of 300 with 200 nodes: what a front keeps, tells and
+// does in a turn follows what it is asked, not the size of the fleet. Checked: a start greets silent peers in as
+// many rounds as fit before loans run out; idle turns tell nothing; of 2,000 requests over all nodes each costs at
+// most 256 bytes; there are three entries for each node and volume, and two for each request that is open.
+TEST_CASE("300 fronts and 200 nodes: state and messages follow the work") {
+    constexpr int kHosts = 300, kNodes = 200, kRequests = 2'000, kVolumes = 40;
+    auto settings = test::settings(0, kHosts);
+    settings.cells = kNodes;
+    State state(settings, Limits{250 * kMs}, test::kStart);
+    Micros now = test::kStart;
+    std::size_t told = 0, bytes = 0;
+    const auto put = [&](Input input) {
+        auto all = reduce(state, now, std::move(input));
+        for (auto& e : reduce(state, now, CloseBatch{})) all.push_back(std::move(e));
+        for (const auto& tell : of<Tell>(all)) {
+            REQUIRE(tell.to >= 0);  // nothing to all at once
+            CHECK(tell.bytes.size() <= 256);
+            ++told, bytes += tell.bytes.size();
+        }
+        return all;
+    };
+    const auto runTo = [&](Micros until) {
+        std::size_t turns = 0;
+        for (; state.nextWake() <= until; ++turns) now = std::max(now, state.nextWake()), put(Wake{});
+        now = until;
+        return turns;
+    };
+    std::vector<NodeInfo> list;
+    for (int i = 0; i < kNodes; ++i) list.push_back(test::node(std::string("n").append(std::to_string(i)), i));
+    put(News{test::nodes(list)});
+    runTo(now + 3'000 * kMs);
+    CHECK(told <= 5 * (kHosts - 1));  // hellos to silent peers, every 0.5 s of the 2 s
+    told = bytes = 0;
+    CHECK(runTo(now + 1'000 * kMs) <= 101);  // one turn a tick, however many nodes there are
+    CHECK(told == 0);
+    for (RequestId id = 1; id <= kRequests; ++id) {
+        auto r = test::request(id, 0, int(id % 2), now, 2, int(id * 7 % kNodes), 3);
+        r.volume = std::string("vol-").append(std::to_string(id % kVolumes));
+        for (const auto& start : of<StartAttempt>(put(Arrived{r}))) {
+            now += 2 * kMs;
+            put(ended(start.id, start.attempt, Outcome::Ok));
+        }
+        runTo(now + 20 * kMs);
+    }
+    CHECK(state.counters().taken == kRequests);
+    CHECK(state.counters().delivered > kRequests / 2);
+    CHECK(bytes <= 256 * kRequests);
+    CHECK(state.kept() <= 3 * kNodes + 3 * kVolumes + 2 * state.open() + 16);
+}
