Pool only what cold nodes answer, not a draining node beside them in the cell

Read again: the units told to the meeting host were counted for every node of a cell (policy.cpp, learn), so the last answers of a draining node counted as what its cold successor bears. A new test shows it: a hundred fronts send a silent successor 198 units in one span, where 38 are allowed; now 36, as before the pool.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -334,7 +334,7 @@
         s.told = {rate, now};
         s.toldOut = out;
         const auto word = std::uint64_t(std::min(65535.0, rate * 16));
-        const auto served = std::uint64_t(std::min(std::exchange(s.answered, 0), 255.0));
+        const auto served = std::uint64_t(std::min(std::exchange(s.borne, 0), 255.0));
         const auto state = peer::waitCode(waited) | std::uint64_t(std::min(out, 255)) << 8 | served << 16;
         tell(int(key % std::uint32_t(set.hosts)), {join ? peer::kJoin : peer::kUse, key, word, state});
     }
@@ -485,7 +485,8 @@
             if (turnedAway) tellCell(cellAt(n.info.cell), 2 * double(shortestAim));
             return;
         }
-        if (coldNode(n) && outcome == Outcome::Ok) n.coldSends.emplace_back(now, -r.info.units);
+        if (coldNode(n) && outcome == Outcome::Ok)
+            n.coldSends.emplace_back(now, -r.info.units), cellAt(n.info.cell).shared->borne += r.info.units;
         n.newestSent = std::max(n.newestSent, now - took);
         n.failures = 0, n.downUntil = kNever;
         n.errors += kSmooth * ((outcome == Outcome::Error ? 1 : 0) - n.errors);
@@ -494,7 +495,6 @@
         const double old = double(now - n.heardAt) / double(kRateMemory);
         const double weight = std::max(kSmooth, 1 - std::exp2(-old));
         n.progressAt = n.heardAt = now;
-        cellAt(n.info.cell).shared->answered += r.info.units;
         // Told is what it took beyond the least for its size, and never nothing.
         const double waited = double(took) - n.floor() * r.info.units;
         tellCell(cellAt(n.info.cell), std::max(waited, double(kTick) / 100));
@@ -941,7 +941,7 @@
                 if (info.cell >= 0) {
                     Roll& roll = rolls[cellAt(info.cell).key];
                     roll.served = {}, roll.coldUntil = info.startedUs + set.warmAfterUs;
-                    cellAt(info.cell).shared->answered = cellAt(info.cell).shared->others.served = 0;
+                    cellAt(info.cell).shared->borne = cellAt(info.cell).shared->others.served = 0;
                 }
                 n.coldDraw = peer::drawOf(info.id + std::to_string(set.seed));
             }
--- a/src/state.h
+++ b/src/state.h
@@ -40,7 +40,7 @@
 struct Shared {
     Rate use, told;
     PeerUse others;
-    double answered = 0;                // units, not told yet
+    double borne = 0;                   // units that cold nodes answered here, not told yet
     std::set<int> peers;
     int cell = -1, toldOut = 0, volumes = 0;    // volumes: of this key
 };
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -205,6 +205,31 @@
     EXPECT_GE(unitsToCold(6 * kSecond, 4), 265);
 }
 
+// What the node before it still answers while it drains says nothing of a successor in the same cell.
+TEST(FleetOfAHundred, AColdSuccessorIsNotJudgedByWhatTheDrainingNodeAnswers) {      // rule 4
+    Fleet f;
+    const auto s = settings(0, kHosts);
+    f.runTo(kStart + 100 * kMs);
+    std::vector<std::pair<int, Send>> out;
+    for (int i = 0; i < kHosts; ++i)
+        for (const auto& send : f.give(i, {request(++f.lastId, 2, 1, f.now)})) out.emplace_back(i, send);
+    f.runTo(f.now + 50 * kMs);
+    for (int i = 0; i < kHosts; ++i)
+        f.give(i, {nodes({node("a", 0, NodeState::Draining), node("c", 0, NodeState::Ready, f.now)}, ListKind::Delta)});
+    f.runTo(f.now + 100 * kMs);
+    for (const auto& [i, send] : out) f.give(i, {ended(send.id, 0, "a", Outcome::Ok, 150 * kMs)});
+    EXPECT_GE(out.size(), 50u);
+    std::size_t sent = 0;
+    for (int step = 0; step < 2 * kHosts; ++step) {     // c is silent
+        const auto before = f.sentLater;
+        sent += f.give(step % kHosts, {request(++f.lastId, 2, 1, f.now)}).size();
+        f.runTo(f.now + 10 * kMs);
+        sent += f.sentLater - before;
+    }
+    const double grown = 1 + (1 / s.coldStart - 1) * double(s.coldSpanUs) / double(s.warmAfterUs);
+    EXPECT_LE(2.0 * double(sent), s.coldUnits * s.coldMultiple * grown);    // of the weakest node, over one span
+}
+
 TEST(FleetOfAHundred, AHostThatHasNotHeardOfTheOthersDoesNotTakeAllAColdNodeBears) {    // rule 4
     EXPECT_GE(unitsToCold(kSecond), 50);        // most hosts first ask for the node when it is cold
 }
