--- a/tests/reducer_test.cpp
+++ b/tests/reducer_test.cpp
@@ -11,15 +11,18 @@
 
 namespace {
 
+// One input and the end of its batch.
+Effects step(State& state, Micros now, Input input) {
+    auto all = reduce(state, now, std::move(input));
+    for (auto& e : reduce(state, now, CloseBatch{})) all.push_back(std::move(e));
+    return all;
+}
+
 struct Machine {
     Machine() : state(test::settings(), Limits{250 * kMs}, test::kStart) {
         put(News{test::nodes({test::node("n0", 0), test::node("n1", 1)})});
     }
-    Effects put(Input input) {
-        auto all = reduce(state, now, std::move(input));
-        for (auto& e : reduce(state, now, CloseBatch{})) all.push_back(std::move(e));
-        return all;
-    }
+    Effects put(Input input) { return step(state, now, std::move(input)); }
     Effects wakeAt(Micros when) {
         now = when;
         return put(Wake{});
@@ -189,8 +192,7 @@
     Micros now = test::kStart;
     std::size_t told = 0, bytes = 0;
     const auto put = [&](Input input) {
-        auto all = reduce(state, now, std::move(input));
-        for (auto& e : reduce(state, now, CloseBatch{})) all.push_back(std::move(e));
+        auto all = step(state, now, std::move(input));
         for (const auto& tell : of<Tell>(all)) {
             REQUIRE(tell.to >= 0);  // nothing to all at once
             CHECK(tell.bytes.size() <= 256);
