--- a/include/wingproxy/policy.h
+++ b/include/wingproxy/policy.h
@@ -134,6 +134,10 @@
     std::vector<Action> finish(Micros now);                 // once, after the batch's last event
     std::size_t kept() const;                               // entries in all its tables
     std::size_t avoided() const;                            // listed nodes that it sends nothing or only trials
+    // What it knows, for a successor process of this host, which has all rights from then on. Here what is open
+    // is finished with what was kept for it.
+    std::string handOver(Micros now);
+    bool restore(const std::string& handedOver);            // before the first event; false: refused, nothing changed
 private:
     struct Impl;
     std::unique_ptr<Impl> impl_;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -193,6 +193,15 @@
     return c;
 }
 
+void fromEnvironment(Config& c, const char* mgmt, const char* fd) {
+    if (mgmt && c.mgmt.port == 0) c.mgmt = parseEndpoint(mgmt, "PROXY_MGMT");
+    if (!fd) return;
+    const std::string_view text(fd);
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), c.inherited);
+    if (error != std::errc() || end != text.data() + text.size() || c.inherited < 3)
+        throw Bad(fmt::format("PROXY_FD: '{}' is not a descriptor above 2", text));
+}
+
 std::string needRestart(const Config& running, const Config& fresh) {
     std::string fields;
     const auto note = [&](bool same, std::string_view field) {
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -39,10 +39,13 @@
     std::vector<Endpoint> peers;    // by host number, this one included
     Endpoint peerListen, peersAll;  // port 0: none
     Endpoint mgmt;                  // where operators call; port 0: nowhere
+    int inherited = -1;             // the descriptor that listens for clients already; -1: none
     int sockets = 1024, memoryMb = 192;
     Micros connectTimeoutUs = 250'000, connIdleUs = 30'000'000;
 };
 Config parseConfig(std::string_view json);
+// What the environment says besides: PROXY_MGMT and PROXY_FD; null where it is not set.
+void fromEnvironment(Config& c, const char* mgmt, const char* fd);
 // The place of the class or plan with this name; -1: none.
 template <typename List>
 int indexOf(const List& list, std::string_view name) {
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -11,6 +11,8 @@
 constexpr double kGracePart = 0.5;
 // And to a node that is known to drain within this part from when that was read.
 constexpr double kDrainPart = 0.8;
+// A call back is forgotten so long after its node is warm: no older word of another process comes so late.
+constexpr Micros kWordKept = 60'000'000;
 
 }  // namespace
 
@@ -73,9 +75,10 @@
 void State::take(const Crowded& in) { tell(wingproxy::Crowded{in.places}); }
 
 NodeInfo State::asTold(NodeInfo listed) const {
-    if (out_.contains(listed.id) && listed.state == NodeState::Ready) listed.state = NodeState::Draining;
-    if (const auto back = backSince_.find(listed.id); back != backSince_.end())
-        listed.startedUs = std::max(listed.startedUs, back->second);
+    const auto word = words_.find(listed.id);
+    if (word == words_.end()) return listed;
+    if (!word->second.out) listed.startedUs = std::max(listed.startedUs, word->second.at);
+    else if (listed.state == NodeState::Ready) listed.state = NodeState::Draining;
     return listed;
 }
 
@@ -95,23 +98,31 @@
     }
     for (; seenOrder_.size() > kMostSeen; seenOrder_.pop_front()) seen_.erase(seenOrder_.front());
     std::erase_if(drains_, [&](const auto& node) { return !listed_.contains(node.first); });
-    std::erase_if(backSince_, [&](const auto& back) { return now_ - back.second > settings_.warmAfterUs; });
+    std::erase_if(words_, [&](const auto& word) {
+        return !word.second.out && now_ - word.second.at > settings_.warmAfterUs + kWordKept;
+    });
     tell(in.list);
 }
 
 // To the module a node that is out by hand drains, and one that was called back has just come up: it was
-// restarted meanwhile, and the list may tell that later.
-void State::take(const OutByHand& in) {
-    if (in.out ? !out_.insert(in.node).second : out_.erase(in.node) == 0) return;
-    if (in.out) backSince_.erase(in.node);
-    else backSince_[in.node] = now_;
-    const auto it = listed_.find(in.node);
-    if (it == listed_.end()) return;  // laid over the list that names it again
-    const auto told = asTold(it->second);
+// restarted meanwhile, and the list may tell that later. Of two words the newer one counts.
+void State::take(const Said& in) {
+    const auto it = words_.find(in.node);
+    const Word before = it == words_.end() ? Word{false, 0} : it->second;
+    if (before.out == in.word.out || in.word.at <= before.at) return;
+    words_.insert_or_assign(in.node, in.word);
+    const auto node = listed_.find(in.node);
+    if (node == listed_.end()) return;  // laid over the list that names it again
+    const auto told = asTold(node->second);
     noteDrain(told);
     tell(NodeList{ListKind::Delta, 0, {told}});
 }
 
+std::size_t State::outByHand() const {
+    return std::size_t(
+        std::count_if(words_.begin(), words_.end(), [](const auto& word) { return word.second.out; }));
+}
+
 void State::take(Heard in) { tell(PeerMessage{in.from, std::move(in.bytes)}); }
 
 void State::take(Probed in) {
@@ -264,6 +275,23 @@
 void State::act(const WatchList& a) { effects_.push_back(Watch{a.on}); }
 void State::act(const Note& a) { effects_.push_back(Say{a.text}); }
 
+Handed handOver(State& state, Micros now) {
+    state.now_ = std::max(state.now_, now);
+    Handed handed;
+    for (const auto& [id, node] : state.listed_) handed.listed.push_back(node);
+    handed.drains = state.drains_;
+    handed.seen.assign(state.seenOrder_.begin(), state.seenOrder_.end());
+    handed.module = state.policy_.handOver(state.now_);
+    return handed;
+}
+
+bool restore(State& state, const Handed& handed) {
+    for (const auto& [id, since] : handed.drains) state.drains_.insert_or_assign(id, since);
+    for (const auto& id : handed.seen)
+        if (state.seen_.insert(id).second) state.seenOrder_.push_back(id);
+    return state.policy_.restore(handed.module);
+}
+
 Effects reduce(State& state, Micros now, Input input) {
     state.now_ = std::max(state.now_, now);
     std::visit([&](auto&& in) { state.take(std::forward<decltype(in)>(in)); }, std::move(input));
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -45,10 +45,17 @@
 struct News {
     NodeList list;
 };
-struct OutByHand {
-    std::string node;
+// An operator's word on a node: it stands above every list until a newer one.
+struct Word {
     bool out = true;
-};  // an operator's word: stands above every list until the opposite one
+    Micros at = 0;
+    auto operator<=>(const Word&) const = default;
+};
+using Words = std::map<std::string, Word, std::less<>>;  // the newest, by node
+struct Said {
+    std::string node;
+    Word word;
+};
 struct Heard {
     int from = 0;
     std::string bytes;
@@ -61,8 +68,8 @@
 };
 struct Wake {};        // some time of State::nextWake has come
 struct CloseBatch {};  // all that was ready has been put in
-using Input = std::variant<Arrived, Ended, Written, Streaming, ClientGone, Crowded, News, OutByHand, Heard,
-                           Probed, Wake, CloseBatch>;
+using Input = std::variant<Arrived, Ended, Written, Streaming, ClientGone, Crowded, News, Said, Heard, Probed,
+                           Wake, CloseBatch>;
 
 // ---- effects
 struct StartAttempt {
@@ -125,6 +132,14 @@
     std::array<std::uint64_t, 8> outcomes{};  // by Outcome
 };
 
+// What a successor process of this front starts from.
+struct Handed {
+    std::vector<NodeInfo> listed;
+    std::map<std::string, Micros, std::less<>> drains;
+    std::vector<std::string> seen;
+    std::string module;
+};
+
 class State {
 public:
     State(const Settings& settings, const Limits& limits, Micros now);
@@ -134,18 +149,21 @@
     // Entries in all tables, the module's too, but for the ids of nodes that are gone: of those it keeps
     // kMostSeen, for an operator's call.
     std::size_t kept() const {
-        return requests_.size() + alarms_.size() + listed_.size() + drains_.size() + out_.size() +
-               backSince_.size() + policy_.kept();
+        return requests_.size() + alarms_.size() + listed_.size() + drains_.size() + words_.size() +
+               policy_.kept();
     }
     std::size_t listed() const { return listed_.size(); }
     std::size_t avoided() const { return policy_.avoided(); }  // of those: by hand, draining, or by choice
     bool everListed(const std::string& node) const { return listed_.contains(node) || seen_.contains(node); }
-    const std::set<std::string>& outByHand() const { return out_; }
+    const Words& words() const { return words_; }
+    std::size_t outByHand() const;
     static constexpr Micros kNoWake = INT64_MAX;
     static constexpr std::size_t kMostSeen = 4'096;  // the oldest go first
 
 private:
     friend Effects reduce(State& state, Micros now, Input input);
+    friend Handed handOver(State& state, Micros now);
+    friend bool restore(State& state, const Handed& handed);
     struct Attempt {
         std::string node;
         Micros startedAt = 0, giveUpAt = 0;
@@ -173,7 +191,7 @@
     void take(const ClientGone& in);
     void take(const Crowded& in);
     void take(News in);
-    void take(const OutByHand& in);
+    void take(const Said& in);
     void take(Heard in);
     void take(Probed in);
     void take(const Wake&);
@@ -204,10 +222,10 @@
     Policy policy_;
     Requests requests_;
     std::map<std::string, NodeInfo, std::less<>> listed_;  // as the list says
-    std::set<std::string> seen_, out_;                     // ever listed; out by hand
+    std::set<std::string> seen_;                           // ever listed
     std::deque<std::string> seenOrder_;
-    std::map<std::string, Micros, std::less<>> backSince_;  // called back then: cold from there on
-    std::map<std::string, Micros, std::less<>> drains_;     // of those that drain: when that was read
+    Words words_;  // who is out by hand, and who was called back: cold from there on
+    std::map<std::string, Micros, std::less<>> drains_;  // of those that drain: when that was read
     std::multiset<Alarm> alarms_;
     std::vector<Ended> moot_;  // told in the next batch, as the module expects
     Effects effects_;
@@ -218,5 +236,9 @@
 
 // Moves the state by one input at a time that never falls, and returns what is to be done outside.
 Effects reduce(State& state, Micros now, Input input);
+// The rights pass to a successor; what is open here is finished.
+Handed handOver(State& state, Micros now);
+// Before the first input but operators' words. False: the module refused its part, and the rest is taken.
+bool restore(State& state, const Handed& handed);
 
 }  // namespace wingproxy::core
--- /dev/null
+++ b/src/handover/snapshot.cpp
@@ -0,0 +1,119 @@
+#include "handover/snapshot.h"
+
+#include <fmt/format.h>
+
+#include <boost/crc.hpp>
+#include <boost/endian/conversion.hpp>
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/map.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <cstring>
+#include <sstream>
+
+namespace wingproxy {
+
+template <typename A>
+void serialize(A& a, NodeInfo& n) {
+    a(n.id, n.zone, n.cell, n.rating, n.state, n.startedUs);
+}
+
+namespace config {
+template <typename A>
+void serialize(A& a, Endpoint& e) {
+    a(e.host, e.port);
+}
+}  // namespace config
+
+namespace core {
+template <typename A>
+void serialize(A& a, Word& w) {
+    a(w.out, w.at);
+}
+template <typename A>
+void serialize(A& a, Handed& h) {
+    a(h.listed, h.drains, h.seen, h.module);
+}
+}  // namespace core
+
+namespace handover {
+
+template <typename A>
+void serialize(A& a, Snapshot& s) {
+    a(s.front, s.takenAt, s.engine.core, s.engine.addresses, s.engine.listVersion, s.openIds);
+}
+
+namespace {
+
+// The head of a file: four letters for its kind and the version of what follows, its length, its CRC-32.
+constexpr char kSnapshot[] = "WPS1", kWords[] = "WPW1";
+constexpr std::size_t kMagic = 4, kHead = kMagic + 8 + 4;
+
+std::uint32_t crc(std::string_view bytes) {
+    boost::crc_32_type sum;
+    sum.process_bytes(bytes.data(), bytes.size());
+    return sum.checksum();
+}
+
+template <typename T>
+std::string wrap(const char* magic, const T& value) {
+    std::ostringstream out;
+    cereal::PortableBinaryOutputArchive archive(out);
+    archive(value);
+    const std::string body = out.str();
+    std::string head(kHead, '\0');
+    std::memcpy(head.data(), magic, kMagic);
+    boost::endian::store_little_u64(reinterpret_cast<unsigned char*>(head.data()) + kMagic, body.size());
+    boost::endian::store_little_u32(reinterpret_cast<unsigned char*>(head.data()) + kMagic + 8, crc(body));
+    return head + body;
+}
+
+template <typename T>
+std::variant<T, Refused> unwrap(const char* magic, std::string_view bytes) {
+    if (bytes.size() < kHead) return Refused{"cut short"};
+    if (bytes.substr(0, kMagic) != std::string_view(magic, kMagic))
+        return Refused{"of another kind or version"};
+    const auto* at = reinterpret_cast<const unsigned char*>(bytes.data()) + kMagic;
+    const auto body = bytes.substr(kHead);
+    if (boost::endian::load_little_u64(at) != body.size()) return Refused{"cut short"};
+    if (boost::endian::load_little_u32(at + 8) != crc(body)) return Refused{"damaged"};
+    try {
+        T value;
+        std::istringstream in{std::string(body)};
+        cereal::PortableBinaryInputArchive archive(in);
+        archive(value);
+        return value;
+    } catch (const std::exception& error) { return Refused{fmt::format("not readable, {}", error.what())}; }
+}
+
+}  // namespace
+
+std::string encode(const Snapshot& snapshot) { return wrap(kSnapshot, snapshot); }
+
+std::variant<Snapshot, Refused> decode(std::string_view bytes, std::string_view front, Micros now) {
+    auto read = unwrap<Snapshot>(kSnapshot, bytes);
+    const auto* snapshot = std::get_if<Snapshot>(&read);
+    if (!snapshot) return read;
+    if (snapshot->front != front) return Refused{fmt::format("of another front, {}", snapshot->front)};
+    if (now - snapshot->takenAt > kFresh) return Refused{"too old"};
+    if (snapshot->engine.addresses.size() != snapshot->engine.core.listed.size())
+        return Refused{"with addresses that fit no list"};
+    return read;
+}
+
+std::string encodeWords(const core::Words& words) { return wrap(kWords, words); }
+std::variant<core::Words, Refused> decodeWords(std::string_view bytes) {
+    return unwrap<core::Words>(kWords, bytes);
+}
+
+core::Words merge(core::Words a, const core::Words& b) {
+    for (const auto& [node, word] : b) {
+        const auto [it, fresh] = a.try_emplace(node, word);
+        if (!fresh && std::pair(word.at, word.out) > std::pair(it->second.at, it->second.out))
+            it->second = word;
+    }
+    return a;
+}
+
+}  // namespace handover
+}  // namespace wingproxy
--- /dev/null
+++ b/src/handover/snapshot.h
@@ -0,0 +1,34 @@
+// What one process of a front tells the next, as bytes. No I/O and no clock.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "net/engine.h"
+
+namespace wingproxy::handover {
+
+struct Snapshot {
+    std::string front;   // its name
+    Micros takenAt = 0;  // Unix microseconds
+    net::Engine::Handed engine;
+    std::vector<std::string> openIds;  // Req-Ids that the old process has not answered yet
+};
+// A snapshot is read within milliseconds; one that is older was left behind by another pair of processes.
+constexpr Micros kFresh = 10'000'000;
+constexpr std::size_t kMostBytes = 32 * 1024 * 1024;
+
+std::string encode(const Snapshot& snapshot);
+struct Refused {
+    std::string why;
+};
+// Magic, version, length and CRC are checked before anything is read: the whole or nothing.
+std::variant<Snapshot, Refused> decode(std::string_view bytes, std::string_view front, Micros now);
+
+std::string encodeWords(const core::Words& words);
+std::variant<core::Words, Refused> decodeWords(std::string_view bytes);
+core::Words merge(core::Words a, const core::Words& b);  // of each node the newer word; the same in any order
+
+}  // namespace wingproxy::handover
--- /dev/null
+++ b/src/handover/succession.cpp
@@ -0,0 +1,122 @@
+#include "handover/succession.h"
+
+namespace wingproxy::handover {
+namespace {
+
+// How soon a successor notices that the right to serve is free: well within an aim.
+constexpr std::chrono::milliseconds kLookEvery{5};
+constexpr std::size_t kMostWords = 1024 * 1024;
+
+Micros unixNow() {
+    return std::chrono::duration_cast<std::chrono::microseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+}  // namespace
+
+Succession::Succession(boost::asio::io_context& io, std::string folder, std::string front,
+                       log::Logger& logger)
+    : again_(io),
+      folder_(std::move(folder)),
+      front_(std::move(front)),
+      logger_(logger),
+      serving_(path("serving")),
+      successor_(path("successor")),
+      leaving_(path("leaving")),
+      wordsLock_(path("words.lock")) {}
+
+std::string Succession::path(const char* name) const { return folder_ + "/wingproxy." + name; }
+
+void Succession::begin(std::function<void(std::optional<Snapshot>)> takeOver) {
+    if (serving_.take()) {
+        role_ = Role::First;
+        return;
+    }
+    role_ = Role::Successor;
+    takeOver_ = std::move(takeOver);
+    logger_.info("handover: another process serves, this one waits for it");
+    tryAgain();
+}
+
+void Succession::tryAgain() {
+    successor_.take();  // where another one waits already, until that has served
+    if (!successor_.held() || !serving_.take()) {
+        again_.expires_after(kLookEvery);
+        again_.async_wait([this](const boost::system::error_code& stopped) {
+            if (!stopped) tryAgain();
+        });
+        return;
+    }
+    role_ = Role::Serving;
+    successor_.release();
+    std::optional<Snapshot> snapshot;
+    if (const auto bytes = readFile(path("snapshot"), kMostBytes)) {
+        auto read = decode(*bytes, front_, unixNow());
+        if (const auto* refused = std::get_if<Refused>(&read)) {
+            ++counters_.refused;
+            logger_.warn("handover: snapshot refused, {}; starting as after a crash", refused->why);
+        } else {
+            snapshot = std::move(std::get<Snapshot>(read));
+        }
+        std::remove(path("snapshot").c_str());  // a loan counts once
+    } else {
+        logger_.warn("handover: the other process left no snapshot; starting as after a crash");
+    }
+    if (snapshot) ++counters_.taken;
+    std::exchange(takeOver_, nullptr)(std::move(snapshot));
+}
+
+bool Succession::another() {
+    if (role_ == Role::Successor || role_ == Role::Leaving) return true;
+    Lock leaving(path("leaving"));
+    return successorWaits() || !leaving.take();
+}
+
+bool Succession::successorWaits() {
+    Lock successor(path("successor"));
+    return !successor.take(true);  // shared: two that look do not take each other for one
+}
+
+void Succession::give(const Snapshot& snapshot) {
+    role_ = Role::Leaving;
+    if (writeFile(path("snapshot"), encode(snapshot))) {
+        ++counters_.given;
+    } else {
+        ++counters_.unwritten;
+        logger_.error("handover: the snapshot cannot be written; the successor starts as after a crash");
+    }
+    leaving_.wait(true);
+    serving_.release();
+}
+
+void Succession::stop() {
+    again_.cancel();
+    takeOver_ = nullptr;
+}
+
+core::Words Succession::exchange(const core::Words& own) {
+    wordsLock_.wait();
+    const auto bytes = readFile(path("words"), kMostWords);
+    core::Words all = own;
+    if (bytes && *bytes != lastWords_) {
+        auto read = decodeWords(*bytes);
+        if (const auto* refused = std::get_if<Refused>(&read)) {
+            ++counters_.refused;
+            logger_.warn("handover: operators' words refused, {}", refused->why);
+        } else {
+            all = merge(std::move(all), std::get<core::Words>(read));
+            ++counters_.words;
+        }
+    }
+    auto now = encodeWords(all);
+    if (!all.empty() && (!bytes || now != *bytes) && !writeFile(path("words"), now)) {
+        ++counters_.unwritten;
+        logger_.error("handover: operators' words cannot be written; another process would not know them");
+    }
+    lastWords_ = std::move(now);
+    wordsLock_.release();
+    return all;
+}
+
+}  // namespace wingproxy::handover
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -211,7 +211,9 @@
         return answer(400, "", bad->what + "\n");
     }
     auto& asked = std::get<Asked>(read);
-    if (front_.ids_.contains(std::string((*message)["Req-Id"]))) {
+    const std::string name((*message)["Req-Id"]);
+    const bool elsewhere = front_.engine_.now() < front_.elsewhereUntil_ && front_.elsewhere_.contains(name);
+    if (elsewhere || front_.ids_.contains(name)) {
         ++front_.counters_.repeated;  // a node would take it for a second copy of the one that is open
         return answer(409, "", "Req-Id: another request with it is open\n");
     }
@@ -249,7 +251,7 @@
 }
 
 Front::Front(net::Engine& engine, net::NodePool& pool, const config::Endpoint& listen,
-             std::size_t mostClients, std::size_t ring)
+             std::size_t mostClients, std::size_t ring, int inherited)
     : engine_(engine),
       pool_(pool),
       door_(
@@ -257,6 +259,11 @@
           [this](net::Door& door, boost::asio::ip::tcp::socket socket) {
               return std::make_shared<Client>(*this, door, std::move(socket));
           },
-          ring) {}
+          ring, inherited) {}
+
+void Front::openElsewhere(const std::vector<std::string>& ids, Micros until) {
+    elsewhere_ = {ids.begin(), ids.end()};
+    elsewhereUntil_ = until;
+}
 
 }  // namespace wingproxy::http
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -18,11 +18,14 @@
         std::uint64_t ok = 0, refused = 0, failed = 0;
     };
     Front(net::Engine& engine, net::NodePool& pool, const config::Endpoint& listen, std::size_t mostClients,
-          std::size_t ring = net::kMostRing);
+          std::size_t ring = net::kMostRing, int inherited = -1);
     void drain() { draining_ = true; }                // answers end their connections from now on
     void answerBy(Micros when) { answerBy_ = when; }  // whatever a client allows
     // From now on clients have only the connections that are open: some are kept free for other requests.
     void noMoreClients() { lastClients_ = true; }
+    // Req-Ids that are open, and those that are open in another process until then.
+    std::vector<std::string> openIds() const { return {ids_.begin(), ids_.end()}; }
+    void openElsewhere(const std::vector<std::string>& ids, Micros until);
     net::Door& door() { return door_; }
     const Counters& counters() const { return counters_; }
 
@@ -37,6 +40,8 @@
     Micros answerBy_ = INT64_MAX;
     Counters counters_;
     std::unordered_set<std::string> ids_;  // Req-Ids that are open, at a node perhaps
+    std::unordered_set<std::string> elsewhere_;
+    Micros elsewhereUntil_ = 0;
     net::Door door_;
 };
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -10,6 +10,7 @@
 
 #include "config/config.h"
 #include "config/operator.h"
+#include "handover/succession.h"
 #include "health/health.h"
 #include "http/front.h"
 #include "net/discovery.h"
@@ -30,6 +31,7 @@
 // Answers end their connections for this long before idle ones are closed.
 constexpr std::chrono::milliseconds kLastRequests{100};
 constexpr std::chrono::milliseconds kLookEvery{20};
+constexpr std::chrono::milliseconds kLookForOther{100};  // far below the 1 s that a call's answer allows
 // Standard streams, listeners, checks, discovery; and the operators' calls.
 constexpr int kOwnDescriptors = 24 + int(operation::kMostCallers);
 
@@ -63,24 +65,26 @@
         : path_(std::move(path)),
           config_(config),
           logger_(logger),
-          budget_(config.sockets, config.memoryMb, extra.rsync.has_value()),
-          engine_(io_, config, logger),
+          shared_(config.inherited >= 0 && std::getenv("TMPDIR")),
+          sockets_(config.sockets),
+          budget_(budget(config.sockets, true, extra.rsync.has_value())),
+          engine_(io_, halved(config, shared_), logger),
           pool_(io_, {budget_.nodes, std::chrono::microseconds(config.connectTimeoutUs),
                       std::chrono::microseconds(config.connIdleUs / 2), budget_.ring}),
           rsyncPool_(io_, {budget_.rsyncNodes, std::chrono::microseconds(config.connectTimeoutUs),
                            std::chrono::microseconds(0), budget_.ring}),
           discovery_(engine_, config.discovery),
-          peers_(engine_, config),
-          front_(engine_, pool_, config.listen, budget_.clients, budget_.ring),
+          peers_(engine_, config, false),
+          front_(engine_, pool_, config.listen, budget_.clients, budget_.ring, config.inherited),
           signals_(io_, SIGTERM, SIGINT, SIGUSR1),
-          closing_(io_) {
+          closing_(io_),
+          looking_(io_) {
         signals_.add(SIGHUP);
         engine_.connect({[this](int to, const std::string& bytes) { peers_.tell(to, bytes); },
                          [this](bool on) { discovery_.watch(on); },
                          [this](const std::string& id, const config::Endpoint& at) {
                              http::probe(engine_, pool_, id, at);
                          }});
-        engine_.start();
         if (extra.rsync) {
             rsync_ = std::make_unique<rsync::Front>(engine_, rsyncPool_, *extra.rsync, budget_.rsyncClients,
                                                     budget_.ring);
@@ -94,7 +98,14 @@
         }
         if (extra.agent) said("agent", (agent_ = health::agentDoor(io_, *extra.agent, ask))->at());
         awaitSignal();
-        said(config.name, front_.door().at());
+        if (shared_) {
+            succession_ =
+                std::make_unique<handover::Succession>(io_, std::getenv("TMPDIR"), config.name, logger);
+            succession_->begin(
+                [this](std::optional<handover::Snapshot> snapshot) { serve(std::move(snapshot)); });
+            look();
+        }
+        if (!succession_ || succession_->role() == handover::Succession::Role::First) serve({});
     }
     void run() {
         io_.run();
@@ -110,6 +121,66 @@
         return {engine_.nodes() > 0, leaving_,
                 double(front_.door().connections()) / double(front_.door().most())};
     }
+    // Two processes of one front share its limits for as long as both live.
+    static config::Config halved(config::Config config, bool shared) {
+        if (shared) config.memoryMb /= 2;
+        return config;
+    }
+    Budget budget(int sockets, bool two, bool withRsync) const {
+        return Budget(shared_ && two ? sockets / 2 : sockets, halved(config_, shared_).memoryMb, withRsync);
+    }
+    void allow() {
+        front_.door().allow(budget_.clients);
+        pool_.allow(budget_.nodes);
+        if (rsync_) rsync_->door().allow(budget_.rsyncClients);
+        rsyncPool_.allow(budget_.rsyncNodes);
+    }
+    // The right to serve is this process's, at the start or from another one.
+    void serve(std::optional<handover::Snapshot> snapshot) {
+        if (snapshot) {
+            const auto until = snapshot->takenAt + longestDeadline();
+            front_.openElsewhere(snapshot->openIds, until);
+            if (!engine_.restore(std::move(snapshot->engine)))
+                logger_.warn(
+                    "handover: the module's memory is of other settings; it starts as after a crash");
+        }
+        if (succession_) engine_.said(succession_->exchange(engine_.words()));
+        peers_.open();
+        engine_.start();
+        if (snapshot)
+            logger_.info("handover: taken over after {} us, {} nodes, {} requests open there",
+                         engine_.now() - snapshot->takenAt, engine_.nodes(), snapshot->openIds.size());
+        if (config_.inherited >= 0) front_.door().open();
+        said(config_.name, front_.door().at());
+    }
+    void giveUpService() {
+        front_.door().leave();
+        front_.drain();  // clients go to the successor with their next request
+        peers_.stop();
+        auto ids = front_.openIds();
+        succession_->give({config_.name, engine_.now(), engine_.handOver(), std::move(ids)});
+        logger_.info("handover: given to the other process");
+    }
+    // Whether another process shares the limits; while one does, operators' words pass both ways.
+    void look() {
+        const bool two = succession_->another();
+        if (two != two_) {
+            two_ = two;
+            budget_ = budget(sockets_, two, rsync_ != nullptr);
+            allow();
+            logger_.info("handover: {}", two ? "two processes share the limits" : "alone");
+        }
+        if (two) engine_.said(succession_->exchange(engine_.words()));
+        looking_.expires_after(kLookForOther);
+        looking_.async_wait([this](const boost::system::error_code& stopped) {
+            if (!stopped) look();
+        });
+    }
+    Micros longestDeadline() const {
+        Micros longest = 0;
+        for (const auto& c : config_.settings.classes) longest = std::max(longest, c.deadlineUs);
+        return longest;
+    }
     operation::Desk desk() {
         return {[this] { return !leaving_; },
                 [this] {
@@ -119,7 +190,9 @@
                     return figures;
                 },
                 [this](const std::string& node, bool out) {
+                    if (succession_) engine_.said(succession_->exchange(engine_.words()));
                     const bool known = engine_.outByHand(node, out);
+                    if (succession_) succession_->exchange(engine_.words());
                     logger_.info("by hand: {} {}{}", out ? "detach" : "attach", node,
                                  known ? "" : ", which was never listed");
                     return known;
@@ -140,11 +213,9 @@
             auto fresh = config::parseConfig(config::readFile(path_));
             discovery_.move(fresh.discovery);
             peers_.know(fresh);
-            budget_ = Budget(fresh.sockets, config_.memoryMb, rsync_ != nullptr);
-            front_.door().allow(budget_.clients);
-            pool_.allow(budget_.nodes);
-            if (rsync_) rsync_->door().allow(budget_.rsyncClients);
-            rsyncPool_.allow(budget_.rsyncNodes);
+            sockets_ = fresh.sockets;
+            budget_ = budget(sockets_, two_, rsync_ != nullptr);
+            allow();
             const auto late = config::needRestart(config_, fresh);
             ++reloads_;
             logger_.info("reloaded: discovery at {}:{}, {} peers, {} descriptors{}{}", fresh.discovery.host,
@@ -158,12 +229,12 @@
     void leave() {
         leaving_ = true;
         leavingSince_ = std::chrono::steady_clock::now();
-        Micros longest = 0;
-        for (const auto& c : engine_.settings().classes) longest = std::max(longest, c.deadlineUs);
-        kill_ =
-            std::min<std::chrono::microseconds>(std::chrono::microseconds(longest), kLongest) + kBeforeKill;
+        kill_ = std::min<std::chrono::microseconds>(std::chrono::microseconds(longestDeadline()), kLongest) +
+                kBeforeKill;
         takenBefore_ = engine_.counters().taken;
         logger_.info("stopping: {} requests open", engine_.open());
+        if (succession_ && succession_->role() == handover::Succession::Role::Successor) return end();
+        if (succession_ && succession_->successorWaits()) giveUpService();
         front_.answerBy(engine_.now() + (kill_ - kAnswerBy).count());
         serveOn();
     }
@@ -173,9 +244,10 @@
     }
     void serveOn() {
         const auto since = std::chrono::steady_clock::now() - leavingSince_;
-        if (since >= kNewClients) front_.noMoreClients();
+        const bool given = succession_ && succession_->role() == handover::Succession::Role::Leaving;
+        if (since >= kNewClients && !given) front_.noMoreClients();
         const bool alone = front_.door().connections() == 0;
-        if (since < kKeepAccepting || (!alone && since < kill_ - kStopServing)) {
+        if ((since < kKeepAccepting && !given) || (!alone && since < kill_ - kStopServing)) {
             return after(kLookEvery, &Program::serveOn);
         }
         front_.drain();
@@ -192,7 +264,12 @@
         if (engine_.open() > 0 || (connections > 0 && since < kill_ - kGone)) {
             return after(kLookEvery, &Program::lookWhetherDone);
         }
+        end();
+    }
+    void end() {
         engine_.stop();
+        if (succession_) succession_->stop();
+        looking_.cancel();
         front_.door().stop();
         if (rsync_) rsync_->door().stop();
         discovery_.stop();
@@ -248,6 +325,11 @@
                          calls_->door().accepted(), calls_->door().connections(), o.yes, o.no, o.malformed,
                          o.hung);
         }
+        if (succession_) {
+            const auto& h = succession_->counters();
+            logger_.info("counters handover: taken={} given={} refused={} words={} unwritten={}", h.taken,
+                         h.given, h.refused, h.words, h.unwritten);
+        }
         logger_.info("counters reloads: done={} bad={}", reloads_, badReloads_);
         logger_.info("counters peers: sent={} received={} unsent={} unknown={} oversize={}", p.sent,
                      p.received, p.unsent, p.unknown, p.oversize);
@@ -256,6 +338,9 @@
     std::string path_;
     config::Config config_;  // as at the start
     log::Logger& logger_;
+    bool shared_;      // with another process of this front, for a time: limits and $TMPDIR
+    bool two_ = true;  // both live
+    int sockets_;
     Budget budget_;
     asio::io_context io_{1};
     net::Engine engine_;
@@ -265,9 +350,10 @@
     http::Front front_;
     std::unique_ptr<rsync::Front> rsync_;  // these three only where the operator's file has them
     std::unique_ptr<net::Door> health_, agent_;
-    std::unique_ptr<operation::Calls> calls_;  // where the configuration has mgmt
+    std::unique_ptr<handover::Succession> succession_;  // where the platform holds the listening socket
+    std::unique_ptr<operation::Calls> calls_;           // where the configuration has mgmt
     asio::signal_set signals_;
-    asio::steady_timer closing_;
+    asio::steady_timer closing_, looking_;
     bool leaving_ = false;
     std::chrono::steady_clock::time_point leavingSince_;
     std::chrono::microseconds kill_{0};  // after leavingSince_, at the earliest
@@ -284,8 +370,7 @@
         const char* path = std::getenv("PROXY_CONFIG");
         if (!path) throw config::Bad("PROXY_CONFIG: not set");
         auto config = config::parseConfig(config::readFile(path));
-        if (const char* at = std::getenv("PROXY_MGMT"); at && config.mgmt.port == 0)
-            config.mgmt = config::parseEndpoint(at, "PROXY_MGMT");
+        config::fromEnvironment(config, std::getenv("PROXY_MGMT"), std::getenv("PROXY_FD"));
         config::Operator extra;
         if (const char* file = std::getenv("WINGPROXY_OPERATOR"))
             extra = config::parseOperator(config::readFile(file), config.settings);
--- a/src/net/engine.cpp
+++ b/src/net/engine.cpp
@@ -14,7 +14,8 @@
       wake_(io) {}
 
 void Engine::start() {
-    news(std::move(known_));
+    started_ = true;
+    news(known_);
     closeBatch();
 }
 
@@ -41,7 +42,7 @@
 }
 
 void Engine::news(config::HostList hosts) {
-    if (hosts.list.kind == ListKind::Full) addresses_.clear();
+    if (hosts.list.kind != ListKind::Delta) addresses_.clear();
     for (std::size_t i = 0; i < hosts.list.nodes.size(); ++i) {
         const auto& node = hosts.list.nodes[i];
         if (node.state == NodeState::Gone) addresses_.erase(node.id);
@@ -53,10 +54,27 @@
 
 bool Engine::outByHand(const std::string& node, bool out) {
     if (!state_.everListed(node)) return false;
-    put(core::OutByHand{node, out});
+    put(core::Said{node, {out, clock_.now()}});
     return true;
 }
 
+void Engine::said(const core::Words& words) {
+    for (const auto& [node, word] : words) put(core::Said{node, word});
+}
+
+Engine::Handed Engine::handOver() {
+    Handed handed{core::handOver(state_, clock_.now()), {}, listVersion_};
+    for (const auto& node : handed.core.listed) handed.addresses.push_back(addresses_[node.id]);
+    return handed;
+}
+
+bool Engine::restore(Handed handed) {
+    const bool whole = core::restore(state_, handed.core);
+    known_ = {{ListKind::Saved, handed.listVersion, std::move(handed.core.listed)},
+              std::move(handed.addresses)};
+    return whole;
+}
+
 void Engine::lost() { put(core::News{{ListKind::Lost, listVersion_, {}}}); }
 
 // Inputs change the state at once; the module decides when all that was ready together has been put in.
@@ -70,7 +88,7 @@
     run(core::reduce(state_, clock_.now(), std::move(input)));
     if (const auto it = live_.find(id); it != live_.end() && it->second.done && it->second.out.empty())
         live_.erase(it);
-    if (closing_) return;
+    if (closing_ || !started_) return;
     closing_ = true;
     boost::asio::post(io_, [this] { closeBatch(); });
 }
--- a/src/net/engine.h
+++ b/src/net/engine.h
@@ -64,6 +64,16 @@
     void news(config::HostList hosts);
     // An operator's word on a node, which stands above the list; false: the id was never listed.
     bool outByHand(const std::string& node, bool out);
+    void said(const core::Words& words);  // by operators, to another process of this front
+    const core::Words& words() const { return state_.words(); }
+    // What a successor starts from. What is open here is finished.
+    struct Handed {
+        core::Handed core;
+        std::vector<config::Endpoint> addresses;  // beside core.listed
+        std::int64_t listVersion = 0;
+    };
+    Handed handOver();
+    bool restore(Handed handed);  // before start(); false: without the module's memory
     void lost();
     void heard(int from, std::string bytes) { put(core::Heard{from, std::move(bytes)}); }
     void probed(core::Probed probe) { put(std::move(probe)); }
@@ -77,7 +87,7 @@
     std::size_t open() const { return state_.open(); }
     std::size_t nodes() const { return addresses_.size(); }  // on the list
     std::size_t avoided() const { return state_.avoided(); }
-    std::size_t outByHand() const { return state_.outByHand().size(); }
+    std::size_t outByHand() const { return state_.outByHand(); }
     std::int64_t listVersion() const { return listVersion_; }
     std::size_t kept() const { return state_.kept() + live_.size() + addresses_.size(); }
     const core::Counters& counters() const { return state_.counters(); }
@@ -113,7 +123,7 @@
     core::State state_;
     boost::asio::steady_timer wake_;
     Micros wakeAt_ = core::State::kNoWake;
-    bool closing_ = false, stopped_ = false;
+    bool closing_ = false, started_ = false, stopped_ = false;
     Outlets outlets_;
     std::unordered_map<RequestId, Live> live_;
     std::map<std::string, config::Endpoint, std::less<>> addresses_;
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -10,14 +10,26 @@
 
 }  // namespace
 
-Listener::Listener(boost::asio::io_context& io, const config::Endpoint& at, Hooks hooks)
+Listener::Listener(boost::asio::io_context& io, const config::Endpoint& at, Hooks hooks, int inherited)
     : acceptor_(io), pause_(io), hooks_(std::move(hooks)) {
+    if (inherited >= 0) {
+        acceptor_.assign(tcp::v4(), inherited);
+        acceptor_.non_blocking(true);
+        return;
+    }
     acceptor_.open(tcp::v4());
     acceptor_.set_option(tcp::acceptor::reuse_address(true));
     acceptor_.bind(tcpEndpoint(at));
     acceptor_.listen(boost::asio::socket_base::max_listen_connections);
     acceptor_.non_blocking(true);
-    accept();
+}
+
+void Listener::open() { accept(); }
+
+void Listener::leave() {
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+    pause_.cancel();
 }
 
 config::Endpoint Listener::at() const {
--- a/src/net/peers.cpp
+++ b/src/net/peers.cpp
@@ -11,12 +11,16 @@
 
 }  // namespace
 
-Peers::Peers(Engine& engine, const config::Config& config)
-    : engine_(engine), socket_(engine.io()), self_(config.settings.host) {
+Peers::Peers(Engine& engine, const config::Config& config, bool opened)
+    : engine_(engine), socket_(engine.io()), listen_(config.peerListen), self_(config.settings.host) {
     know(config);
-    if (config.peerListen.port == 0) return;
+    if (opened) open();
+}
+
+void Peers::open() {
+    if (listen_.port == 0) return;
     socket_.open(udp::v4());
-    socket_.bind(udpEndpoint(config.peerListen));
+    socket_.bind(udpEndpoint(listen_));
     socket_.non_blocking(true);
     receive();
 }
--- a/src/net/peers.h
+++ b/src/net/peers.h
@@ -16,7 +16,8 @@
     struct Counters {
         std::uint64_t sent = 0, received = 0, unsent = 0, unknown = 0, oversize = 0;
     };
-    Peers(Engine& engine, const config::Config& config);
+    Peers(Engine& engine, const config::Config& config, bool opened = true);
+    void open();  // binds; another process of this front must have let go
     void know(const config::Config& config);  // the peers' addresses, at the start and anew
     void tell(int to, const std::string& bytes);
     void stop();
@@ -31,6 +32,7 @@
     std::map<boost::asio::ip::udp::endpoint, int> numbers_;
     std::array<char, kMost + 1> buffer_{};
     Counters counters_;
+    config::Endpoint listen_;
     int self_ = 0;
 };
 
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -102,7 +102,7 @@
 }
 
 Door::Door(boost::asio::io_context& io, const config::Endpoint& at, std::size_t most, Make make,
-           std::size_t ring)
+           std::size_t ring, int inherited)
     : io_(io),
       most_(most),
       ring_(ring),
@@ -113,9 +113,11 @@
                      session->place_ = sessions_.insert(sessions_.end(), session);
                      session->start();
                  },
-                 [this] { return sessions_.size() >= most_; }, [this] { return closeOldestIdle(); }}),
+                 [this] { return sessions_.size() >= most_; }, [this] { return closeOldestIdle(); }},
+                inherited),
       at_(listener_.at()),
       tender_(io) {
+    if (inherited < 0) open();
     tend();
 }
 
--- a/src/net/session.h
+++ b/src/net/session.h
@@ -55,7 +55,9 @@
 public:
     using Make = std::function<std::shared_ptr<Session>(Door&, boost::asio::ip::tcp::socket)>;
     Door(boost::asio::io_context& io, const config::Endpoint& at, std::size_t most, Make make,
-         std::size_t ring = kMostRing);
+         std::size_t ring = kMostRing, int inherited = -1);  // inherited: see Listener; accepts after open()
+    void open() { listener_.open(); }
+    void leave() { listener_.leave(); }
     void closeListener();  // first takes the clients that wait
     void closeIdle();
     void stop();
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -2,6 +2,7 @@
 // docs/design.md says what of the design was kept, what was changed and why.
 #include "wingproxy/policy.h"
 
+#include "memory_archive.h"
 #include "peer_message.h"
 #include "state.h"
 
@@ -74,6 +75,7 @@
 constexpr Micros kListTurn = 25'000;    // calls anew of more hosts than these leave so far apart, on average
 constexpr int kFew = 8;             // today's most: it answers in turn, and fails what waits too long
 constexpr double kDrainPart = 0.7;          // of its grace a node serves on where its cell has no other yet
+constexpr double kKeptPart = 0.25;  // of a bucket, for one more request of each client that is connected
 constexpr double kRenewPart = 0.7;          // the list is asked for again in this part of its term
 // What was not asked for or listed for so long is forgotten: beyond any loan, any cold start and any word of
 // its use that a peer still counts.
@@ -100,16 +102,6 @@
 
     void act(const Action& action) { actions.push_back(action); }
 
-    Cell& cellAt(int cell) {
-        if (std::size_t(cell) >= cells.size()) cells.resize(std::size_t(cell) + 1);
-        Cell& c = cells[cell];
-        if (!c.shared) {
-            c.shared = &shared[c.key = std::uint32_t(peer::hashOf(std::to_string(cell)))];
-            c.shared->cell = cell;
-        }
-        return c;
-    }
-
     // ------------------------------------------------------------ leases
 
     Volume& volumeOf(const Request& r) {
@@ -137,9 +129,30 @@
         // A bucket starts empty, as an earlier life of this host may have spent it, and fills from there.
         v.tokensAt = v.hosts == 1 ? startedAt : std::min(settledAt, now);
         refill(v);
+        if (handedOver) strip(v, 0);
         return v;
     }
 
+    // What a successor has the rights of: these units are left, and it fills, borrows and lends no more.
+    void strip(Volume& v, double units) {
+        v.tokens = v.baseCap = units;
+        v.baseRate = v.chunkRate = v.chunkCap = 0;
+        v.lent.clear(), v.borrowed.clear();
+    }
+
+    std::string handOver() {
+        std::map<Volume*, double> kept;
+        for (auto& [name, v] : volumes) {
+            refill(v);
+            kept[&v] = std::clamp(std::max(v.heldUnits, kKeptPart * v.tokens), 0.0, std::max(0.0, v.tokens));
+            v.tokens -= kept[&v];
+        }
+        const auto bytes = saveMemory(*this);
+        for (auto& [v, units] : kept) strip(*v, units);
+        handedOver = true;
+        return bytes;
+    }
+
     // An earlier life may have lent chunks. None is spent or lent until every peer has said that it holds
     // none, or until any loan must have run out.
     bool settled() const { return settledAt <= now; }
@@ -408,6 +421,7 @@
     // little ahead. Rejected and unanswered work is not given back, so a node that chokes is left alone.
     bool coldTakes(Node& n, double units) {
         if (!coldNode(n) || set.coldSpanUs <= 0) return true;
+        if (handedOver) return false;
         while (!n.coldSends.empty() && now - n.coldSends.front().first > set.coldSpanUs)
             n.coldSends.pop_front();
         double open = 0, answered = 0;
@@ -704,12 +718,6 @@
 
     // ------------------------------------------------------------ attempts and answers
 
-    KeyTurn* turnOf(const Pending& r) {
-        if (!r.cls || !r.cls->fifoByKey || r.info.key.empty()) return nullptr;
-        const auto it = turns.find(r.info.key);
-        return it == turns.end() ? nullptr : &it->second;
-    }
-
     bool sameGroup(const Pending& r, const Node& n) const {
         if (r.pinnedNode < 0 || r.cls->scope == Scope::All) return true;
         const NodeInfo& first = nodes.at(r.pinnedNode).info;
@@ -1015,11 +1023,12 @@
     std::visit([this](const auto& e) { impl_->on(e); }, event);
 }
 
-std::size_t Policy::kept() const {
-    const Impl& p = *impl_;
-    return p.nodeIndex.size() + p.volumes.size() + p.shared.size() + p.rolls.size() + p.requests.size() +
-           p.turns.size();
+std::size_t Policy::kept() const { return impl_->Memory::kept(); }
+std::string Policy::handOver(Micros now) {
+    impl_->now = now;
+    return impl_->handOver();
 }
+bool Policy::restore(const std::string& bytes) { return loadMemory(bytes, *impl_); }
 
 std::size_t Policy::avoided() const {
     const Impl& p = *impl_;
--- a/src/state.h
+++ b/src/state.h
@@ -163,6 +163,27 @@
     std::set<int> welcomedBy;
     std::vector<std::pair<int, peer::Record>> asks;   // of this batch, served in order of host number
     std::set<int> dirty;                        // cells to look at when the batch ends
+    bool handedOver = false;                    // a successor has the rights; what is open here is finished
+
+    Cell& cellAt(int cell) {
+        if (std::size_t(cell) >= cells.size()) cells.resize(std::size_t(cell) + 1);
+        Cell& c = cells[cell];
+        if (!c.shared) {
+            c.shared = &shared[c.key = std::uint32_t(peer::hashOf(std::to_string(cell)))];
+            c.shared->cell = cell;
+        }
+        return c;
+    }
+
+    KeyTurn* turnOf(const Pending& r) {
+        if (!r.cls || !r.cls->fifoByKey || r.info.key.empty()) return nullptr;
+        const auto it = turns.find(r.info.key);
+        return it == turns.end() ? nullptr : &it->second;
+    }
+
+    std::size_t kept() const {                  // entries in all tables
+        return nodeIndex.size() + volumes.size() + shared.size() + rolls.size() + requests.size() + turns.size();
+    }
 };
 
 }  // namespace wingproxy
--- a/tests/reducer_test.cpp
+++ b/tests/reducer_test.cpp
@@ -179,8 +179,8 @@
     Machine m;
     CHECK(!m.state.everListed("n9"));
     CHECK(m.state.everListed("n0"));
-    m.put(OutByHand{"n0", true});
-    m.put(OutByHand{"n0", true});
+    m.put(Said{"n0", {true, m.now}});
+    m.put(Said{"n0", {true, m.now}});
     CHECK(m.state.avoided() == 1);
     const auto list = [&](NodeState state, Micros started) {
         m.put(News{test::nodes({test::node("n0", 0, state, started)}, ListKind::Delta)});
@@ -193,7 +193,7 @@
     m.put(News{test::nodes({test::node("n0", 0, NodeState::Ready, m.now), test::node("n1", 1)})});
     CHECK(m.state.avoided() == 1);
     CHECK(of<StartAttempt>(m.take(1)).empty());
-    m.put(OutByHand{"n0", false});
+    m.put(Said{"n0", {false, m.now}});
     CHECK(m.state.avoided() == 0);
     CHECK(of<StartAttempt>(m.take(2)).size() == 1);
     // Back by hand, it starts as a node that just came up: no more than the rule's units at once.
