--- a/include/wingproxy/policy.h
+++ b/include/wingproxy/policy.h
@@ -91,7 +91,10 @@
     int cell = -1;                                          // -1: a new object, any node
     int volumeHosts = 1;
     bool retry = false;
+    bool filling = false;                                   // its body is still coming
 };
+// The body's last byte is here: the node may start, and the client's time runs.
+struct Filled { RequestId id = 0; Micros deadlineUs = 0; };
 struct AttemptEnded {
     RequestId id = 0;
     int attempt = 0;
@@ -101,15 +104,18 @@
     bool closed = false;
     double usePercent = 0, elsewhere = 0;
     std::vector<double> report;
+    bool spent = false;                                     // no further attempt: its bytes are gone, or it is over
 };
-struct StreamStarted { RequestId id = 0; int attempt = 0; std::string node; Micros tookUs = 0; };
+// Its answer began. worked: the node's time for it is over, only bytes follow; passing: they go to the client.
+struct StreamStarted { RequestId id = 0; int attempt = 0; std::string node; Micros tookUs = 0; bool worked = false,
+                       passing = true; };
 struct RequestGone { RequestId id = 0; };
 struct Crowded { int places = 0; };                         // so many of what waits here must leave its place
 struct TimerFired { std::uint64_t token = 0; };
 struct PeerMessage { int from = 0; std::string bytes; };
 struct ProbeAnswered { std::string node; Outcome outcome = Outcome::Ok; Micros tookUs = 0;
                        std::vector<double> report; };
-using Event = std::variant<NodeList, Request, AttemptEnded, StreamStarted, RequestGone, Crowded, TimerFired,
+using Event = std::variant<NodeList, Request, Filled, AttemptEnded, StreamStarted, RequestGone, Crowded, TimerFired,
                            PeerMessage, ProbeAnswered>;
 
 // Actions
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -13,6 +13,8 @@
 constexpr double kDrainPart = 0.8;
 // A call back is forgotten so long after its node is warm: no older word of another process comes so late.
 constexpr Micros kWordKept = 60'000'000;
+// While a body is on its way to a node nothing else is waited for; the front ends what brings too little.
+constexpr Micros kLongestBody = 3'600'000'000;
 
 }  // namespace
 
@@ -36,12 +38,31 @@
     it->second.deadlineUs = in.request.deadlineUs;
     it->second.cell = in.request.cell;
     it->second.classIndex = in.request.classIndex;
+    it->second.filling = it->second.longBody = in.request.filling;
     alarms_.insert({in.request.deadlineUs, Due::Overdue, in.request.id, 0});
     ++counters_.taken;
     ++open_;
     tell(in.request);
 }
 
+void State::take(const Filled& in) {
+    const auto it = requests_.find(in.id);
+    if (it == requests_.end() || !it->second.filling) return;
+    Live& live = it->second;
+    live.filling = false;
+    quiet({live.deadlineUs, Due::Overdue, in.id, 0});
+    live.deadlineUs = in.deadlineUs;
+    if (live.done) return;
+    alarms_.insert({in.deadlineUs, Due::Overdue, in.id, 0});
+    for (auto& [number, attempt] : live.out) {
+        quiet({attempt.giveUpAt, Due::AttemptTimeout, in.id, number});
+        attempt.giveUpAt = in.deadlineUs;
+        attempt.startedAt = now_;
+        if (!live.freely) alarms_.insert({in.deadlineUs, Due::AttemptTimeout, in.id, number});
+    }
+    tell(wingproxy::Filled{in.id, in.deadlineUs});
+}
+
 void State::take(Ended in) {
     const auto it = requests_.find(in.id);
     if (it == requests_.end() || !it->second.out.contains(in.attempt)) {
@@ -54,13 +75,28 @@
 
 void State::take(const Written&) { ++counters_.written; }
 
+void State::take(const Answering& in) {
+    const auto it = requests_.find(in.id);
+    if (it == requests_.end() || it->second.done) return;
+    const auto attempt = it->second.out.find(in.attempt);
+    if (attempt == it->second.out.end()) return;
+    tell(StreamStarted{in.id, in.attempt, attempt->second.node, now_ - attempt->second.startedAt, true,
+                       false});
+}
+
 void State::take(const Streaming& in) {
     const auto it = requests_.find(in.id);
     if (it == requests_.end() || it->second.done) return;
     const auto attempt = it->second.out.find(in.attempt);
     if (attempt == it->second.out.end()) return;
     it->second.streaming = true;
-    tell(StreamStarted{in.id, in.attempt, attempt->second.node, now_ - attempt->second.startedAt});
+    if (in.freely) {
+        it->second.freely = true;
+        quiet({it->second.deadlineUs, Due::Overdue, in.id, 0});
+        quiet({attempt->second.giveUpAt, Due::AttemptTimeout, in.id, in.attempt});
+    }
+    tell(StreamStarted{in.id, in.attempt, attempt->second.node, now_ - attempt->second.startedAt, in.freely,
+                       true});
 }
 
 void State::take(const ClientGone& in) {
@@ -69,6 +105,16 @@
     ++counters_.gone;
     finish(it->second);
     tell(RequestGone{in.id});
+    // What comes from a client or goes to it byte by byte ends with it; anything else may still tell
+    // something.
+    const bool bytes = it->second.freely || it->second.filling;
+    while (bytes && !it->second.out.empty()) {
+        const int attempt = it->second.out.begin()->first;
+        effects_.push_back(StopAttempt{in.id, attempt});
+        const bool last = it->second.out.size() == 1;
+        endAttempt(it, attempt, {in.id, attempt, Outcome::Cancelled, 0, 0, {}});
+        if (last) return;  // and the request with it
+    }
     forget(it);
 }
 
@@ -179,6 +225,8 @@
     Live& live = it->second;
     const Attempt was = std::move(live.out.at(attempt));
     live.out.erase(attempt);
+    const bool neverRan = how.outcome == Outcome::ConnectFailed || how.outcome == Outcome::Full;
+    how.spent = how.spent || (live.longBody && !neverRan);
     quiet({was.giveUpAt, Due::AttemptTimeout, how.id, attempt});
     ++counters_.outcomes[static_cast<std::size_t>(how.outcome)];
     if (!live.done && how.outcome == Outcome::Ok) {
@@ -191,7 +239,7 @@
         effects_.push_back(FailClient{how.id});
     }
     tell(AttemptEnded{how.id, attempt, was.node, how.outcome, now_ - was.startedAt, live.done, how.usePercent,
-                      how.elsewhere, std::move(how.report)});
+                      how.elsewhere, std::move(how.report), how.spent});
     forget(it);
 }
 
@@ -229,6 +277,7 @@
     Live& live = it->second;
     ++counters_.attempts;
     Micros giveUpAt = live.deadlineUs;
+    if (live.filling) giveUpAt = now_ + kLongestBody;
     if (a.timeoutUs != 0) giveUpAt = std::min(giveUpAt, now_ + std::max<Micros>(0, a.timeoutUs));
     Micros firstByte = limits_.connectUs;
     if (settings_.drainGraceUs > 0)
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -27,15 +27,26 @@
     Outcome outcome = Outcome::Ok;
     double usePercent = 0, elsewhere = 0;
     std::vector<double> report;
+    bool spent = false;  // the request's bytes are gone: no other attempt can have them
+};
+// The body's last byte came: the node may start, and the client's time runs until then.
+struct Filled {
+    RequestId id = 0;
+    Micros deadlineUs = 0;
 };
 struct Written {
     RequestId id = 0;
     int attempt = 0;
 };  // its last byte is with the node
+struct Answering {
+    RequestId id = 0;
+    int attempt = 0;
+};  // its answer began and is not whole: the node has done its work
 struct Streaming {
     RequestId id = 0;
     int attempt = 0;
-};  // its answer began to reach the client
+    bool freely = false;  // without a deadline from here on: the node has done its work, only bytes follow
+};                        // its answer began to reach the client
 struct ClientGone {
     RequestId id = 0;
 };
@@ -68,8 +79,8 @@
 };
 struct Wake {};        // some time of State::nextWake has come
 struct CloseBatch {};  // all that was ready has been put in
-using Input = std::variant<Arrived, Ended, Written, Streaming, ClientGone, Crowded, News, Said, Heard, Probed,
-                           Wake, CloseBatch>;
+using Input = std::variant<Arrived, Filled, Ended, Written, Answering, Streaming, ClientGone, Crowded, News,
+                           Said, Heard, Probed, Wake, CloseBatch>;
 
 // ---- effects
 struct StartAttempt {
@@ -171,7 +182,8 @@
     struct Live {
         Micros deadlineUs = 0;
         int cell = -1, classIndex = -1, attempts = 0;
-        bool done = false, streaming = false;
+        bool done = false, streaming = false, freely = false;
+        bool filling = false, longBody = false;  // its body still comes; it came piece by piece
         std::map<int, Attempt> out;
     };
     enum class Due { Timer, AttemptTimeout, Overdue };
@@ -185,8 +197,10 @@
     using Requests = std::unordered_map<RequestId, Live>;
 
     void take(const Arrived& in);
+    void take(const Filled& in);
     void take(Ended in);
     void take(const Written& in);
+    void take(const Answering& in);
     void take(const Streaming& in);
     void take(const ClientGone& in);
     void take(const Crowded& in);
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <boost/asio/post.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <map>
 #include <optional>
@@ -14,14 +15,19 @@
 namespace beast = boost::beast;
 using beast::http::field;
 
-constexpr std::size_t kMostBody = 64 * 1024;
 // The answer's last byte must be with the client by its deadline: this much is kept for the way there.
 constexpr Micros kAnswerRoom = 3'000;
-// A request is whole this long after its first byte, a connection's first one after connecting.
-constexpr std::chrono::seconds kWholeBy{2};
-// Where another client needs the place, a half-sent one keeps it no longer than this.
+// A connection's first byte comes this long after connecting.
+constexpr std::chrono::seconds kFirstBy{2};
+// A head is whole this long after its first byte, and a body brings so many bytes a second beyond that: the
+// slowest clients take 2 s and bring four times as many.
+constexpr std::chrono::seconds kHeadBy{4};
+constexpr std::size_t kBodyRate = 16 * 1024;
+// A half-sent request that has brought nothing for so long leaves its place to another client.
 constexpr std::chrono::milliseconds kHalfSent{250};
-constexpr std::chrono::seconds kAnswerRead{10};  // for a client to take its answer
+constexpr std::chrono::seconds kAnswerRead{30};  // for a client to take anything more of its answer
+// A client that was answered before its body was whole may go on sending for so long.
+constexpr std::chrono::seconds kStillSending{10};
 // A connection between requests is kept so long, and where the house is this full only as long as a silent
 // one: clients hold only so many, and those that ask once and stay leave the others none to ask on.
 constexpr std::chrono::seconds kKeep{60};
@@ -31,35 +37,47 @@
 // Where no new connections come, this part of those that are open is kept free, and so many at the least: a
 // client that finds all of them busy takes the front for dead.
 constexpr std::size_t kFreePart = 3, kLeastFree = 4;
+constexpr std::size_t kFrame = 16;  // a chunk's size and ends
 
 }  // namespace
 
 // One client's connection.
-class Front::Client : public net::Session {
+class Front::Client : public net::Session, public Caller {
 public:
     Client(Front& front, net::Door& door, boost::asio::ip::tcp::socket socket)
         : Session(door, std::move(socket)), front_(front) {
         next();
     }
-    bool idle() const override { return state_ == State::Reading && (!begun() || age() > kHalfSent); }
+    bool idle() const override { return state_ == State::Reading && (!begun() || quiet() > kHalfSent); }
+    // First who never asked, unless it has just come; then who asked and stays; then the half-sent.
+    int givesWay() const override {
+        if (begun()) return 2;
+        return asked_ ? 1 : age() > kHalfSent ? 0 : 3;
+    }
     void tend() override;
     void answer(int status, std::string_view fields, std::string_view body,
                 net::ByteBudget::Hold bytes = nullptr);
+    void endAnswer();  // a long one is whole
+    void cutAnswer();  // and will not be
+
+    std::size_t takeBody(char* to, std::size_t n) override;
+    bool bodyTaken() const override { return !filling_ && body_.empty(); }
+    void wantBody(std::function<void()> more) override { more_ = std::move(more); }
+    void beginAnswer(const LongAnswer& answer, std::function<std::size_t(char*, std::size_t)> take) override;
+    void moreAnswer() override { poke(); }
 
 protected:
-    void received() override {
-        if (state_ != State::Reading) return;
-        if (asked_ && !parser_->got_some()) since_ = std::chrono::steady_clock::now();
-        parse();
-    }
+    void received() override;
     void left() override {
-        if (state_ != State::Waiting) return;
-        --front_.waiting_;
-        front_.engine_.gone(id_);
+        if (state_ == State::Waiting) --front_.waiting_;
+        if (state_ == State::Waiting || passing_) front_.engine_.gone(id_);
+    }
+    void progressed() override {
+        if (state_ == State::Answering) since_ = Clock::now();
     }
     void sent() override {
-        if (state_ != State::Answering) return;  // that was only "100 Continue"
-        if (!keepAlive_) return linger();
+        if (state_ != State::Answering || passing_) return;  // that was only "100 Continue"
+        if (!keepAlive_) return filling_ ? linger(kStillSending) : linger();
         next();
         touch();
         parse();
@@ -67,38 +85,57 @@
     }
 
 private:
+    using Clock = std::chrono::steady_clock;
     enum class State { Reading, Waiting, Answering };
     bool over(std::size_t part) const {
         return front_.answerBy_ == INT64_MAX && door_.connections() * part > door_.most();
     }
-    bool begun() const { return in_.size() > 0 || parser_->got_some(); }
-    std::chrono::steady_clock::duration age() const { return std::chrono::steady_clock::now() - since_; }
+    bool begun() const { return in_.size() > 0 || reader_->gotSome(); }
+    Clock::duration age() const { return Clock::now() - since_; }
+    Clock::duration quiet() const { return Clock::now() - lastByte_; }
     void next();
     void parse();
+    bool judgeHead();  // false: it was answered
     void reject(const boost::system::error_code& error);
-    void begin();
+    void begin(std::optional<Framing> framing);
+    void spoilt();  // the body cannot be read on: the request ends
 
     Front& front_;
-    std::optional<beast::http::request_parser<beast::http::string_body>> parser_;
+    std::optional<net::MessageReader<true>> reader_;
+    std::string body_;  // a short one, or the part of a long one that came before that was known
     State state_ = State::Reading;
-    bool keepAlive_ = true, toldToGoOn_ = false, asked_ = false;  // asked_: a whole request came on it
-    std::chrono::steady_clock::time_point since_;  // connecting, a request's first byte, or its answer
-    net::ByteBudget::Hold bytes_;                  // of the body that comes in, then of the one that goes out
+    bool keepAlive_ = true, judged_ = false, waitsToSend_ = false,
+         asked_ = false;                         // asked_: once at the least
+    bool filling_ = false;                       // the request is with the engine and its body still comes
+    bool passing_ = false;                       // a long answer is under way
+    bool chunked_ = false, untilClose_ = false;  // how that one ends
+    bool oldClient_ = false;                     // HTTP/1.0
+    Clock::time_point since_;     // connecting, a request's first byte, or when its answer last went on
+    Clock::time_point lastByte_;  // of the client's
+    std::size_t taken_ = 0;       // bytes of the body so far
+    Micros emptyAt_ = 0;          // the body's last byte had not been written then
+    Micros waitUs_ = 0;
+    std::function<void()> more_;
+    net::ByteBudget::Hold bytes_;  // of the body that comes in, then of the one that goes out
     RequestId id_ = 0;
 };
 
 // The request while the engine has it. The client's connection may be gone before it is over.
 struct Front::Pending : net::Transfer {
     Pending(Front& front, std::weak_ptr<Client> client, std::shared_ptr<const Message> message,
-            net::ByteBudget::Hold bytes)
-        : front(front), client(std::move(client)), message(std::move(message)), bytes(std::move(bytes)) {
+            std::optional<Framing> framing, net::ByteBudget::Hold bytes)
+        : front(front),
+          client(std::move(client)),
+          message(std::move(message)),
+          framing(framing),
+          bytes(std::move(bytes)) {
         front.ids_.insert(id());
     }
     ~Pending() override { front.ids_.erase(id()); }
     std::string id() const { return std::string((*message)["Req-Id"]); }
     std::shared_ptr<net::Attempt> start(const net::AttemptOrder& order) override {
         const auto attempt =
-            std::make_shared<NodeAttempt>(front.engine_, front.pool_, order, message,
+            std::make_shared<NodeAttempt>(front.engine_, front.pool_, order, message, framing, client,
                                           [this](int number, Answer answer, net::ByteBudget::Hold hold) {
                                               answers[number] = {std::move(answer), std::move(hold)};
                                           });
@@ -106,9 +143,14 @@
         return attempt;
     }
     void deliver(int attempt) override {
-        auto& [kept, bytes] = answers[attempt];
-        const auto body = std::move(kept.body());  // gone when it stands in the client's text
-        const auto type = kept[field::content_type];
+        const auto kept = answers.find(attempt);
+        if (kept == answers.end()) {  // it has passed through
+            if (const auto held = client.lock()) held->endAnswer();
+            return;
+        }
+        auto& [answer, bytes] = kept->second;
+        const auto body = std::move(answer.body());  // gone when it stands in the client's text
+        const auto type = answer[field::content_type];
         reply(200,
               type.empty() ? ""
                            : fmt::format("Content-Type: {}\r\n", std::string_view(type.data(), type.size())),
@@ -125,61 +167,113 @@
     Front& front;
     std::weak_ptr<Client> client;
     std::shared_ptr<const Message> message;
-    net::ByteBudget::Hold bytes;  // of the message's body
+    std::optional<Framing> framing;  // of a body that is not in the message
+    net::ByteBudget::Hold bytes;     // of the message's body
     std::map<int, std::pair<Answer, net::ByteBudget::Hold>> answers;
 };
 
 void Front::Client::next() {
     state_ = State::Reading;
-    toldToGoOn_ = false;
+    judged_ = waitsToSend_ = filling_ = passing_ = false;
+    body_.clear();
     bytes_ = nullptr;
-    since_ = std::chrono::steady_clock::now();
-    parser_.emplace();
-    parser_->header_limit(net::headLimit(in_));
-    parser_->body_limit(kMostBody);
+    more_ = nullptr;
+    since_ = lastByte_ = Clock::now();
+    reader_.emplace(in_, kMostBody);
+}
+
+void Front::Client::received() {
+    lastByte_ = Clock::now();
+    if (state_ == State::Reading) {
+        if (asked_ && !reader_->gotSome()) since_ = lastByte_;
+        return parse();
+    }
+    if (!filling_) return;
+    if (drained_) emptyAt_ = front_.engine_.now();
+    if (state_ == State::Answering) in_.clear();  // the answer did not wait for it
+    else if (more_) std::exchange(more_, nullptr)();
 }
 
 void Front::Client::parse() {
     boost::system::error_code error;
-    while (in_.size() > 0 && !parser_->is_done() && net::step(*parser_, in_, error)) {
-        if (!parser_->is_header_done()) continue;
-        if (!bytes_) bytes_ = net::holdBody(*parser_, front_.engine_.bodies(), kMostBody);
-        if (!bytes_) {
-            ++front_.counters_.noMemory;
-            keepAlive_ = false;
-            return answer(503, front_.engine_.settings().retryAdvice ? "Retry-After: 0.100\r\n" : "", "");
-        }
-        if (!toldToGoOn_ && !parser_->is_done() &&
-            beast::iequals(parser_->get()[field::expect], "100-continue")) {
-            toldToGoOn_ = true;
-            send("HTTP/1.1 100 Continue\r\n\r\n");
+    if (!judged_) {
+        if (in_.size() == 0) return;
+        if (!reader_->head(in_, error)) {
+            if (error) reject(error);
+            return;
         }
-        const auto& head = parser_->get();
-        const auto coding = head[field::transfer_encoding];
-        if (coding.empty()) continue;
+        judged_ = true;
+        if (!judgeHead()) return;
+        const auto length = reader_->parser().content_length();
+        if (length && *length > kMostWhole) return begin(Framing{false, *length});
+    }
+    char piece[16 * 1024];
+    while (!reader_->done() && !error) {
+        const auto n = reader_->body(in_, piece, sizeof piece, error);
+        body_.append(piece, n);
+        if (body_.size() > kMostWhole) return begin(Framing{true, 0});
+        if (n < sizeof piece) break;
+    }
+    if (error) return reject(error);
+    if (reader_->done()) return begin({});
+    if (in_.space() == 0) reject(beast::http::error::bad_chunk);  // what is no body fits no ring
+}
+
+bool Front::Client::judgeHead() {
+    const auto& head = reader_->parser().get();
+    oldClient_ = head.version() < 11;
+    const auto coding = head[field::transfer_encoding];
+    if (!coding.empty()) {
         // Two lengths may hide another request in the body: nothing behind this head is read as one.
-        if (head.find(field::content_length) != head.end() || head.version() < 11) {
-            error = beast::http::error::bad_transfer_encoding;
-            break;
+        if (head.find(field::content_length) != head.end() || oldClient_) {
+            reject(beast::http::error::bad_transfer_encoding);
+            return false;
+        }
+        if (!beast::iequals(coding, "chunked")) {
+            ++front_.counters_.unsupported;
+            keepAlive_ = false;
+            answer(501, "", "Transfer-Encoding: not supported\n");
+            return false;
         }
-        if (beast::iequals(coding, "chunked")) continue;
-        ++front_.counters_.unsupported;
+    }
+    const auto length = reader_->parser().content_length();
+    const bool isLong = length && *length > kMostWhole;
+    if (!isLong && !(bytes_ = net::holdBody(reader_->parser(), front_.engine_.bodies(), kMostWhole))) {
+        ++front_.counters_.noMemory;
         keepAlive_ = false;
-        return answer(501, "", "Transfer-Encoding: not supported\n");
+        answer(503, front_.engine_.settings().retryAdvice ? "Retry-After: 0.100\r\n" : "", "");
+        return false;
     }
-    if (error) return reject(error);
-    if (parser_->is_done()) begin();
+    waitsToSend_ = !reader_->done() && beast::iequals(head[field::expect], "100-continue");
+    if (waitsToSend_ && !isLong) {
+        waitsToSend_ = false;
+        send("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    return true;
 }
 
 void Front::Client::tend() {
-    if (!open() || state_ == State::Waiting) return;  // what waits is the module's to answer
+    if (!open()) return;
+    if (state_ == State::Waiting) {  // what waits is the module's to answer, but for a client that stopped
+        if (!filling_ || in_.space() == 0 || quiet() < kAnswerRead) return;
+        ++front_.counters_.slow;
+        front_.engine_.gone(id_);
+        return answer(408, "", "the body did not go on\n");
+    }
     if (state_ == State::Answering) {
-        if (age() > kAnswerRead) ++front_.counters_.unread, close();
-    } else if (begun() && age() > kWholeBy) {
+        if (age() > kAnswerRead) {
+            ++front_.counters_.unread;
+            left(), close();
+        }
+        return;
+    }
+    if (begun()) {
+        const auto brought = std::chrono::milliseconds(1000 * body_.size() / kBodyRate);
+        if (age() < kHeadBy + brought) return;
         ++front_.counters_.slow;
         keepAlive_ = false;
         answer(408, "", "the request did not become whole in time\n");
-    } else if (!begun() && unread() == 0 && age() > (asked_ && !over(kCrowded) ? kKeep : kWholeBy)) {
+    } else if (unread() == 0 && age() > (asked_ && !over(kCrowded) ? kKeep : kFirstBy)) {
         ++front_.counters_.silent;
         close();
     }
@@ -193,54 +287,149 @@
     answer(header ? 431 : body ? 413 : 400, "", fmt::format("{}\n", error.message()));
 }
 
-void Front::Client::begin() {
-    auto message = std::make_shared<Message>(parser_->release());
+void Front::Client::begin(std::optional<Framing> framing) {
+    auto message = std::make_shared<Message>(AskedHead(reader_->parser().get().base()));
     asked_ = true;
-    keepAlive_ = message->keep_alive();
+    keepAlive_ = reader_->parser().keep_alive();
+    if (!framing) message->body() = std::move(body_), body_.clear();
+    const auto wrong = [&](int status, std::string_view fields, std::string_view why) {
+        ++front_.counters_.malformed;
+        if (framing) keepAlive_ = false;  // its body is not read
+        answer(status, fields, why);
+    };
     if (message->target() == "/up") return answer(200, "", "up\n");
     ++front_.counters_.requests;
     const auto method = message->method();
     if (method != beast::http::verb::get && method != beast::http::verb::put) {
-        ++front_.counters_.malformed;
         keepAlive_ = keepAlive_ && method != beast::http::verb::head;  // a HEAD's answer should have no body
-        return answer(405, "Allow: GET, PUT\r\n", "method: a read is a GET, a write a PUT\n");
+        return wrong(405, "Allow: GET, PUT\r\n", "method: a read is a GET, a write a PUT\n");
     }
     auto read = readRequest(*message, front_.engine_.settings());
-    if (const auto* bad = std::get_if<BadField>(&read)) {
-        ++front_.counters_.malformed;
-        return answer(400, "", bad->what + "\n");
-    }
+    if (const auto* bad = std::get_if<BadField>(&read)) return wrong(400, "", bad->what + "\n");
+    if (framing && method == beast::http::verb::get)
+        return wrong(400, "", "Content-Length: a read has no body\n");
     auto& asked = std::get<Asked>(read);
     const std::string name((*message)["Req-Id"]);
     const bool elsewhere = front_.engine_.now() < front_.elsewhereUntil_ && front_.elsewhere_.contains(name);
     if (elsewhere || front_.ids_.contains(name)) {
         ++front_.counters_.repeated;  // a node would take it for a second copy of the one that is open
+        if (framing) keepAlive_ = false;
         return answer(409, "", "Req-Id: another request with it is open\n");
     }
-    const auto deadline = front_.engine_.now() + std::max<Micros>(0, asked.waitUs - kAnswerRoom);
-    asked.request.deadlineUs = std::min(deadline, front_.answerBy_);
+    emptyAt_ = front_.engine_.now();
+    waitUs_ = std::max<Micros>(0, asked.waitUs - kAnswerRoom);
+    asked.request.deadlineUs = std::min(emptyAt_ + waitUs_, front_.answerBy_);
+    asked.request.filling = filling_ = framing.has_value();
     state_ = State::Waiting;
     ++front_.waiting_;
     touch();
     const auto self = std::static_pointer_cast<Client>(shared_from_this());
-    id_ =
-        front_.engine_.submit(std::move(asked.request),
-                              std::make_shared<Pending>(front_, self, std::move(message), std::move(bytes_)));
+    id_ = front_.engine_.submit(std::move(asked.request),
+                                std::make_shared<Pending>(front_, self, std::move(message), framing,
+                                                          framing ? nullptr : std::move(bytes_)));
     front_.keepSomeFree();
 }
 
+std::size_t Front::Client::takeBody(char* to, std::size_t n) {
+    if (!open() || state_ != State::Waiting) return 0;
+    if (waitsToSend_) {  // a node is there that wants it
+        waitsToSend_ = false;
+        send("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    if (!body_.empty()) {
+        n = std::min(n, body_.size());
+        std::copy_n(body_.data(), n, to);
+        body_.erase(0, n);
+        if (body_.empty()) bytes_ = nullptr;
+        return n;
+    }
+    boost::system::error_code error;
+    n = reader_->body(in_, to, n, error);
+    const bool stuck = n == 0 && in_.space() == 0 && !reader_->done();
+    if (error || stuck) {
+        // Not from within: the attempt that asks ends with the request.
+        boost::asio::post(door_.io(),
+                          [self = std::static_pointer_cast<Client>(shared_from_this())] { self->spoilt(); });
+        return 0;
+    }
+    if (filling_ && reader_->done()) {
+        filling_ = false;
+        front_.engine_.filled(id_, std::min(emptyAt_ + waitUs_, front_.answerBy_));
+    }
+    read();
+    return n;
+}
+
+void Front::Client::spoilt() {
+    if (!open() || state_ != State::Waiting) return;
+    ++front_.counters_.malformed;
+    keepAlive_ = false;
+    front_.engine_.gone(id_);
+    answer(400, "", "the body cannot be read\n");
+}
+
+void Front::Client::beginAnswer(const LongAnswer& answer,
+                                std::function<std::size_t(char*, std::size_t)> take) {
+    if (!open() || state_ != State::Waiting) return;
+    --front_.waiting_;
+    state_ = State::Answering;
+    passing_ = true;
+    since_ = Clock::now();
+    chunked_ = !answer.length && !oldClient_;
+    untilClose_ = !answer.length && oldClient_;
+    if (front_.draining_ || over(kFull) || untilClose_) keepAlive_ = false;
+    auto fields = answer.type.empty() ? "" : fmt::format("Content-Type: {}\r\n", answer.type);
+    if (answer.length) fields += fmt::format("Content-Length: {}\r\n", *answer.length);
+    else if (chunked_) fields += "Transfer-Encoding: chunked\r\n";
+    send(headForClient(200, fields, keepAlive_));
+    feed([this, take = std::move(take)](net::RingBuffer& out) {
+        char piece[16 * 1024];
+        while (passing_ && out.space() > kFrame) {
+            const auto n = take(piece, std::min(sizeof piece, out.space() - kFrame));
+            if (n == 0) break;
+            if (chunked_) out.put(fmt::format("{:x}\r\n", n));
+            out.put({piece, n});
+            if (chunked_) out.put("\r\n");
+        }
+    });
+}
+
+void Front::Client::endAnswer() {
+    if (!open() || !passing_) return;
+    passing_ = false;
+    ++front_.counters_.ok;
+    endFeed();
+    if (chunked_) send("0\r\n\r\n");
+}
+
+// The client must see that it is not whole: by its length, by the last chunk that lacks, or by a reset.
+void Front::Client::cutAnswer() {
+    if (!open()) return;
+    passing_ = false;
+    ++front_.counters_.failed;
+    boost::system::error_code ignored;
+    if (untilClose_) socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    close();
+}
+
 void Front::Client::answer(int status, std::string_view fields, std::string_view body,
                            net::ByteBudget::Hold bytes) {
     if (!open()) return;
+    if (passing_) return cutAnswer();
     if (state_ == State::Waiting) --front_.waiting_;
+    if (filling_) keepAlive_ = false;
+    more_ = nullptr;
     bytes_ = std::move(bytes);
     ++(status == 200   ? front_.counters_.ok
        : status == 503 ? front_.counters_.refused
                        : front_.counters_.failed);
     state_ = State::Answering;
-    since_ = std::chrono::steady_clock::now();
+    since_ = Clock::now();
     if (front_.draining_ || over(kFull)) keepAlive_ = false;
-    send(forClient(status, fields, body, keepAlive_));
+    std::string all(fields);
+    if (oldClient_ && keepAlive_) all += "Connection: keep-alive\r\n";
+    send(forClient(status, all, body, keepAlive_));
+    if (filling_) in_.clear(), read();
 }
 
 void Front::keepSomeFree() {
--- a/src/http/node_client.cpp
+++ b/src/http/node_client.cpp
@@ -2,10 +2,16 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace wingproxy::http {
 namespace {
 
-constexpr std::size_t kMostAnswer = 64 * 1024;  // as long as the platform lets a body be
+namespace beast = boost::beast;
+
+constexpr int kMostInterim = 8;
+// A long answer of which nothing comes for so long has broken: peers take seconds, not this.
+constexpr std::chrono::seconds kSilent{30};
 constexpr std::chrono::milliseconds kProbeTimeout{250};
 // An answer that has begun goes on within this part of the shortest aim: another attempt may still be in
 // time.
@@ -20,36 +26,236 @@
 }  // namespace
 
 NodeAttempt::NodeAttempt(net::Engine& engine, net::NodePool& pool, const net::AttemptOrder& order,
-                         std::shared_ptr<const Message> message, Keep keep)
-    : net::NodeAttempt(engine, pool, order), message_(std::move(message)), keep_(std::move(keep)) {}
+                         std::shared_ptr<const Message> message, std::optional<Framing> framing,
+                         std::weak_ptr<Caller> caller, Keep keep)
+    : net::NodeAttempt(engine, pool, order),
+      message_(std::move(message)),
+      framing_(framing),
+      caller_(std::move(caller)),
+      keep_(std::move(keep)),
+      stall_(engine.io()) {}
 
 void NodeAttempt::late(std::shared_ptr<net::Connection> connection) { pool_.release(std::move(connection)); }
 
 void NodeAttempt::connected(std::shared_ptr<net::Connection> connection) {
+    connection_ = std::move(connection);
     const auto host = fmt::format("{}:{}", order_.node.host, order_.node.port);
-    exchange_ = std::make_shared<net::Exchange>(
-        std::move(connection), forNode(*message_, host, order_.giveUpAt - engine_.now()), kMostAnswer,
-        [self = std::static_pointer_cast<NodeAttempt>(shared_from_this())](net::Exchange::Result result,
-                                                                           Answer answer) {
-            if (!self->over_) self->answered(result, std::move(answer));
-        },
-        &engine_.bodies(), stallOf(engine_.settings()));
-    exchange_->start([this] { engine_.written(order_.id, order_.attempt); });
+    text_ = forNode(*message_, host, order_.giveUpAt - engine_.now(), framing_ ? &*framing_ : nullptr);
+    bodyPut_ = !framing_;
+    reader_.emplace(connection_->in, kMostBody);
+    write();
+    // Of a short request the answer is read when it is written; a long one may be answered before.
+    if (framing_ && !over_) read();
+}
+
+bool NodeAttempt::moreToWrite() {
+    auto& out = connection_->out;
+    put_ += out.put(std::string_view(text_).substr(put_));
+    if (put_ < text_.size()) return true;
+    std::string().swap(text_);
+    put_ = 0;
+    const auto caller = caller_.lock();
+    constexpr std::size_t kFrame = 16;  // a chunk's size and ends
+    char piece[16 * 1024];
+    while (!bodyPut_ && caller && out.space() > kFrame) {
+        const auto n = caller->takeBody(piece, std::min(sizeof piece, out.space() - kFrame));
+        if (over_) return false;
+        if (n > 0) {
+            spent_ = true;
+            if (framing_->chunked) out.put(fmt::format("{:x}\r\n", n));
+            out.put({piece, n});
+            if (framing_->chunked) out.put("\r\n");
+        }
+        if (caller->bodyTaken()) {
+            if (out.space() < kFrame) break;  // room for the end comes
+            if (framing_->chunked) out.put("0\r\n\r\n");
+            bodyPut_ = true;
+        } else if (n == 0) {
+            caller->wantBody([weak = weak_from_this()] {
+                if (const auto held = weak.lock()) static_cast<NodeAttempt&>(*held).write();
+            });
+            break;
+        }
+    }
+    return !bodyPut_;
+}
+
+void NodeAttempt::write() {
+    if (over_ || writing_ || written_) return;
+    const bool more = moreToWrite();
+    if (over_) return;
+    auto& out = connection_->out;
+    if (out.size() == 0) {
+        if (more) return;  // the client has to bring it
+        written_ = true;
+        engine_.written(order_.id, order_.attempt);
+        return read();
+    }
+    writing_ = true;
+    connection_->socket.async_write_some(
+        out.data(), [self = self()](const boost::system::error_code& error, std::size_t n) {
+            self->writing_ = false;
+            if (self->over_) return;
+            self->connection_->out.consume(n);
+            if (error) self->broke();
+            else self->write();
+        });
+}
+
+void NodeAttempt::read() {
+    if (over_ || reading_ || nodeEnded_ || connection_->in.space() == 0) return;
+    reading_ = true;
+    connection_->socket.async_read_some(
+        connection_->in.room(), [self = self()](const boost::system::error_code& error, std::size_t n) {
+            self->reading_ = false;
+            if (self->over_) return;
+            self->connection_->in.commit(n);
+            self->stall_.cancel();
+            if (error && error != boost::asio::error::eof) return self->broke();
+            self->nodeEnded_ = bool(error);
+            self->received();
+        });
+}
+
+void NodeAttempt::received() {
+    boost::system::error_code error;
+    auto& in = connection_->in;
+    while (!headDone_) {
+        if (!reader_->head(in, error)) break;
+        const auto status = reader_->parser().get().result_int();
+        if (status / 100 == 1 && status != 101 && interim_++ < kMostInterim) {
+            reader_.emplace(in, kMostBody);
+            continue;
+        }
+        headDone_ = true;
+        const auto length = reader_->parser().content_length();
+        const bool ok = status == 200 && written_;
+        if (ok && length && *length > kMostWhole) return beginPassing();
+        hold_ = net::holdBody(reader_->parser(), engine_.bodies(), kMostWhole);
+        if (!hold_) return broke();
+    }
+    if (headDone_ && !passing_) readWhole(error);
+    if (over_) return;
+    if (passing_) {
+        if (const auto caller = caller_.lock()) caller->moreAnswer();
+        return;
+    }
+    const auto& parser = reader_->parser();
+    // Only a node that says so ends its answer by closing: here any other is an answer that lost its length.
+    if (!error && headDone_ && !reader_->done() && parser.need_eof() && parser.get().keep_alive())
+        return broke();
+    if (!error && nodeEnded_ && !reader_->done() && reader_->gotSome()) reader_->ended(error);
+    if (!error && reader_->done()) return finish();
+    if (error || nodeEnded_ || in.space() == 0) return broke();
+    if (headDone_ && written_ && !answering_ && reader_->parser().get().result_int() == 200) {
+        answering_ = true;  // its bytes come slowly, which says nothing of its work
+        engine_.answering(order_.id, order_.attempt);
+        if (over_) return;
+    }
+    if (reader_->gotSome()) awaitMore(stallOf(engine_.settings()));
+    read();
+}
+
+void NodeAttempt::readWhole(boost::system::error_code& error) {
+    char piece[16 * 1024];
+    while (!error) {
+        const auto n = reader_->body(connection_->in, piece, sizeof piece, error);
+        body_.append(piece, n);
+        if (body_.size() > kMostWhole) {
+            if (reader_->parser().get().result_int() == 200 && written_) return beginPassing();
+            error = beast::http::error::body_limit;
+        }
+        if (n < sizeof piece) break;
+    }
+}
+
+// From now on the answer is the client's: it is passed on as it comes, and no other attempt can take its
+// place.
+void NodeAttempt::beginPassing() {
+    const auto caller = caller_.lock();
+    if (!caller) return broke();
+    passing_ = true;
+    const auto& parser = reader_->parser();
+    const auto type = parser.get()[beast::http::field::content_type];
+    Caller::LongAnswer answer{std::string(type.data(), type.size()), std::nullopt};
+    if (const auto length = parser.content_length()) answer.length = *length;
+    engine_.streaming(order_.id, order_.attempt, true);
+    if (over_) return;
+    caller->beginAnswer(answer, [weak = weak_from_this()](char* to, std::size_t n) {
+        const auto held = weak.lock();
+        return held ? static_cast<NodeAttempt&>(*held).pass(to, n) : 0;
+    });
+}
+
+std::size_t NodeAttempt::pass(char* to, std::size_t n) {
+    if (over_) return 0;
+    if (!body_.empty()) {  // what came before it was known to be long
+        n = std::min(n, body_.size());
+        std::copy_n(body_.data(), n, to);
+        body_.erase(0, n);
+        if (body_.empty()) hold_ = nullptr;
+        return n;
+    }
+    boost::system::error_code error;
+    n = reader_->body(connection_->in, to, n, error);
+    const bool empty = connection_->in.size() == 0;
+    if (!error && nodeEnded_ && empty && !reader_->done()) reader_->ended(error);
+    if (error || (nodeEnded_ && !reader_->done() && n == 0)) {
+        broke();
+    } else if (reader_->done()) {
+        finish();
+    } else if (connection_->in.space() == 0 && n == 0) {
+        broke();  // a chunk's head that fits no ring
+    } else {
+        // Not while bytes are left that a later turn takes: a read under way at the end would cost the
+        // connection.
+        if (n == 0) awaitMore(kSilent);
+        if (n == 0 || empty) read();
+    }
+    return n;
+}
+
+void NodeAttempt::awaitMore(std::chrono::microseconds patience) {
+    stall_.expires_after(patience);
+    stall_.async_wait([self = self(), patience](const boost::system::error_code& stopped) {
+        if (stopped || self->over_ || !self->connection_) return;
+        // Where this program was slow and not the node, more was read in this turn or still waits.
+        boost::system::error_code error;
+        if (self->stall_.expiry() > std::chrono::steady_clock::now()) return;
+        if (self->connection_->socket.available(error) > 0 && !error) return self->awaitMore(patience);
+        self->broke();
+    });
+}
+
+void NodeAttempt::finish() {
+    const auto& head = reader_->parser().get();
+    core::Ended ended = readAnswer(head, engine_.settings());
+    // Answered before the whole request was there: it was not served, whatever the node says, unless it fails
+    // it.
+    if (!written_ && ended.outcome == Outcome::Ok) ended.outcome = Outcome::Reset;
+    ended.spent = ended.spent || spent_;
+    if (ended.outcome == Outcome::Ok && !passing_) {
+        Answer answer{AnswerHead(head)};
+        answer.body() = std::move(body_);
+        keep_(order_.attempt, std::move(answer), std::move(hold_));
+    }
+    const bool reusable =
+        written_ && !nodeEnded_ && reader_->parser().keep_alive() && connection_->in.size() == 0 && !reading_;
+    if (reusable) pool_.release(std::exchange(connection_, nullptr));
+    end(std::move(ended));
 }
 
-void NodeAttempt::answered(net::Exchange::Result result, Answer answer) {
+void NodeAttempt::broke() {
     core::Ended ended;
-    if (result == net::Exchange::Result::NotWritten) ended.outcome = Outcome::ConnectFailed;
-    else if (result == net::Exchange::Result::Broken) ended.outcome = Outcome::Reset;
-    else ended = readAnswer(answer, engine_.settings());
-    if (auto connection = exchange_->reusable()) pool_.release(std::move(connection));
-    if (ended.outcome == Outcome::Ok) keep_(order_.attempt, std::move(answer), exchange_->hold());
+    ended.outcome = written_ ? Outcome::Reset : Outcome::ConnectFailed;
+    ended.spent = spent_;
     end(std::move(ended));
 }
 
 void NodeAttempt::drop() {
-    if (exchange_) exchange_->abandon();
-    exchange_ = nullptr;
+    stall_.cancel();
+    boost::system::error_code ignored;
+    if (connection_) connection_->socket.close(ignored);  // its rings stay until the handlers have run
 }
 
 namespace {
@@ -69,7 +275,7 @@
                 self->exchange_ = std::make_shared<net::Exchange>(
                     std::move(connection),
                     fmt::format("GET /metrics/load HTTP/1.1\r\nHost: {}:{}\r\n\r\n", at.host, at.port),
-                    kMostAnswer, [self](net::Exchange::Result result, const Answer& answer) {
+                    kMostWhole, [self](net::Exchange::Result result, const Answer& answer) {
                         if (result != net::Exchange::Result::Answered) return self->end(Outcome::Reset, {});
                         if (auto whole = self->exchange_->reusable()) self->pool_.release(std::move(whole));
                         const auto ok = answer.result_int() == 200;
--- a/src/http/node_client.h
+++ b/src/http/node_client.h
@@ -3,29 +3,78 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include "http/platform.h"
 #include "net/exchange.h"
+#include "net/http_step.h"
 #include "net/node_attempt.h"
 
 namespace wingproxy::http {
 
+// Up to so many bytes a body or an answer is held whole; what is longer passes through the rings.
+constexpr std::size_t kMostWhole = 64 * 1024;
+// No body is longer: more than the platform sends, and far below what a counter holds.
+constexpr std::size_t kMostBody = 64 * 1024 * 1024;
+
+// The client's end of one request, as its attempts see it. All calls are made on the loop.
+class Caller {
+public:
+    virtual ~Caller() = default;
+    // Moves body bytes out, as far as they are here: no other attempt can have them then.
+    virtual std::size_t takeBody(char* to, std::size_t n) = 0;
+    virtual bool bodyTaken() const = 0;                     // all of it
+    virtual void wantBody(std::function<void()> more) = 0;  // called once, when there may be more
+    // A long answer begins: its head's fields, how it ends, and who gives the body.
+    struct LongAnswer {
+        std::string type;
+        std::optional<std::uint64_t> length;
+    };
+    virtual void beginAnswer(const LongAnswer& answer,
+                             std::function<std::size_t(char*, std::size_t)> take) = 0;
+    virtual void moreAnswer() = 0;
+};
+
 class NodeAttempt : public net::NodeAttempt {
 public:
-    // Called before the engine hears of an Ok.
+    // A short answer, whole. Called before the engine hears of an Ok.
     using Keep = std::function<void(int attempt, Answer answer, net::ByteBudget::Hold hold)>;
+    // With a framing the message has no body yet, and the caller gives it.
     NodeAttempt(net::Engine& engine, net::NodePool& pool, const net::AttemptOrder& order,
-                std::shared_ptr<const Message> message, Keep keep);
+                std::shared_ptr<const Message> message, std::optional<Framing> framing,
+                std::weak_ptr<Caller> caller, Keep keep);
 
 private:
     void connected(std::shared_ptr<net::Connection> connection) override;
     void late(std::shared_ptr<net::Connection> connection) override;
     void drop() override;
-    void answered(net::Exchange::Result result, Answer answer);
+
+    void write();
+    bool moreToWrite();  // into the ring; false: the request is all there
+    void read();
+    void received();
+    void readWhole(boost::system::error_code& error);
+    void beginPassing();
+    std::size_t pass(char* to, std::size_t n);  // answer bytes to the client
+    void finish();
+    void broke();  // the connection, or what came on it
+    void awaitMore(std::chrono::microseconds patience);
+    std::shared_ptr<NodeAttempt> self() { return std::static_pointer_cast<NodeAttempt>(shared_from_this()); }
 
     std::shared_ptr<const Message> message_;
+    std::optional<Framing> framing_;
+    std::weak_ptr<Caller> caller_;
     Keep keep_;
-    std::shared_ptr<net::Exchange> exchange_;
+    std::shared_ptr<net::Connection> connection_;
+    std::string text_;  // of the request, not in the ring yet
+    std::size_t put_ = 0;
+    std::optional<net::MessageReader<false>> reader_;
+    std::string body_;  // of a short answer
+    net::ByteBudget::Hold hold_;
+    boost::asio::steady_timer stall_;
+    int interim_ = 0;  // heads with 1xx so far
+    bool bodyPut_ = false, written_ = false, spent_ = false, writing_ = false, reading_ = false;
+    bool headDone_ = false, answering_ = false, passing_ = false, nodeEnded_ = false;
 };
 
 // GET /metrics/load, where the settings allow probes.
--- a/src/http/platform.cpp
+++ b/src/http/platform.cpp
@@ -136,13 +136,15 @@
     return report;
 }
 
-core::Ended readAnswer(const Answer& answer, const Settings& settings) {
+core::Ended readAnswer(const AnswerHead& answer, const Settings& settings) {
     core::Ended ended;
     const auto status = answer.result_int();
     const bool declined = trim(sv(answer["Srv-Declined"])) == "1";
     if (status == 200) ended.outcome = Outcome::Ok;
     else if ((status == 503 || status == 504) && declined) ended.outcome = Outcome::Full;
     else ended.outcome = Outcome::Error;
+    // With 504 it is the request that is over, or not this node's: another attempt would hear the same.
+    ended.spent = status == 504 && declined;
     // The simulator's figure is one more than the header's, so that 0 means none.
     double number = 0;
     if (parse(trim(sv(answer["Volume-Load"])), number) && number >= 0) ended.usePercent = number + 1;
@@ -152,7 +154,7 @@
     return ended;
 }
 
-std::string forNode(const Message& message, const std::string& host, Micros waitUs) {
+std::string forNode(const Message& message, const std::string& host, Micros waitUs, const Framing* framing) {
     std::string out = fmt::format("{} {} HTTP/1.1\r\n", sv(message.method_string()), sv(message.target()));
     if (message.find(field::host) == message.end()) out += fmt::format("Host: {}\r\n", host);
     for (const auto& f : message) {
@@ -161,6 +163,8 @@
         out += fmt::format("{}: {}\r\n", name, sv(f.value()));
     }
     out += fmt::format("Req-Deadline-Ms: {}\r\n", std::max<Micros>(1, waitUs / 1000));
+    if (framing && framing->chunked) return out + "Transfer-Encoding: chunked\r\n\r\n";
+    if (framing) return out + fmt::format("Content-Length: {}\r\n\r\n", framing->length);
     if (!message.body().empty() || message.method() != beast::http::verb::get)
         out += fmt::format("Content-Length: {}\r\n", message.body().size());
     out += "\r\n";
@@ -168,10 +172,15 @@
     return out;
 }
 
-std::string forClient(int status, std::string_view fields, std::string_view body, bool keepAlive) {
+std::string headForClient(int status, std::string_view fields, bool keepAlive) {
     const auto reason = sv(beast::http::obsolete_reason(beast::http::int_to_status(unsigned(status))));
-    return fmt::format("HTTP/1.1 {} {}\r\n{}{}Content-Length: {}\r\n\r\n{}", status, reason, fields,
-                       keepAlive ? "" : "Connection: close\r\n", body.size(), body);
+    return fmt::format("HTTP/1.1 {} {}\r\n{}{}\r\n", status, reason, fields,
+                       keepAlive ? "" : "Connection: close\r\n");
+}
+
+std::string forClient(int status, std::string_view fields, std::string_view body, bool keepAlive) {
+    return headForClient(status, fmt::format("{}Content-Length: {}\r\n", fields, body.size()), keepAlive)
+        .append(body);
 }
 
 std::string retryAfter(Micros us) { return fmt::format("{:.3f}", double(us) / 1e6); }
--- a/src/http/platform.h
+++ b/src/http/platform.h
@@ -23,12 +23,23 @@
 std::variant<Asked, BadField> readRequest(const Message& message, const Settings& settings);
 
 // What a node's answer means for the attempt; the outcome of an answer that came whole.
-core::Ended readAnswer(const Answer& answer, const Settings& settings);
+using AskedHead = boost::beast::http::request_header<>;
+using AnswerHead = boost::beast::http::response_header<>;
+core::Ended readAnswer(const AnswerHead& answer, const Settings& settings);
 std::vector<double> readLoad(std::string_view load, const Settings& settings);
 
-// The request as a node gets it: as it came, but for the connection's own fields and the time left.
-std::string forNode(const Message& message, const std::string& host, Micros waitUs);
+// How a body that is not whole yet is framed: its length, or in chunks.
+struct Framing {
+    bool chunked = false;
+    std::uint64_t length = 0;
+};
+// The request as a node gets it: as it came, but for the connection's own fields and the time left. With a
+// framing only its head, and the body follows.
+std::string forNode(const Message& message, const std::string& host, Micros waitUs,
+                    const Framing* framing = nullptr);
 std::string forClient(int status, std::string_view fields, std::string_view body, bool keepAlive);
+// Only the head, with whole header lines that say how the body ends.
+std::string headForClient(int status, std::string_view fields, bool keepAlive);
 std::string retryAfter(Micros us);  // decimal seconds
 
 }  // namespace wingproxy::http
--- a/src/net/engine.h
+++ b/src/net/engine.h
@@ -59,7 +59,12 @@
     void gone(RequestId id);
     void crowded(int places) { put(core::Crowded{places}); }
     void written(RequestId id, int attempt) { put(core::Written{id, attempt}); }
-    void streaming(RequestId id, int attempt) { put(core::Streaming{id, attempt}); }
+    void answering(RequestId id, int attempt) { put(core::Answering{id, attempt}); }
+    // freely: the node has done its work, and no deadline runs any more.
+    void streaming(RequestId id, int attempt, bool freely = false) {
+        put(core::Streaming{id, attempt, freely});
+    }
+    void filled(RequestId id, Micros deadlineUs) { put(core::Filled{id, deadlineUs}); }
     void ended(core::Ended how) { put(std::move(how)); }
     void news(config::HostList hosts);
     // An operator's word on a node, which stands above the list; false: the id was never listed.
--- a/src/net/exchange.h
+++ b/src/net/exchange.h
@@ -26,9 +26,9 @@
     Exchange(std::shared_ptr<Connection> connection, std::string request, std::size_t bodyLimit, Done done,
              ByteBudget* budget = nullptr, std::chrono::microseconds stall = kStall);
     void start(std::function<void()> written = nullptr);  // called when the last byte is with the system
-    void abandon();                                  // closes the connection, calls nothing
-    std::shared_ptr<Connection> reusable();          // after Answered: the connection, if it may go on
-    ByteBudget::Hold hold() const { return hold_; }  // of the answer's body
+    void abandon();                                       // closes the connection, calls nothing
+    std::shared_ptr<Connection> reusable();               // after Answered: the connection, if it may go on
+    ByteBudget::Hold hold() const { return hold_; }       // of the answer's body
 
 private:
     void write();
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -16,12 +16,12 @@
         std::function<bool()> full;      // the budget is spent
         std::function<bool()> makeRoom;  // closes an idle connection, if there is one
     };
-    // A descriptor that is given is the listening socket, which another process may have as well: it is neither
-    // bound nor shut down here.
+    // A descriptor that is given is the listening socket, which another process may have as well: it is
+    // neither bound nor shut down here.
     Listener(boost::asio::io_context& io, const config::Endpoint& at, Hooks hooks, int inherited = -1);
-    void open();   // from now on it accepts
-    void close();  // takes what the system has accepted, then closes
-    void leave();  // closes this process's descriptor; what waits is another's
+    void open();                  // from now on it accepts
+    void close();                 // takes what the system has accepted, then closes
+    void leave();                 // closes this process's descriptor; what waits is another's
     config::Endpoint at() const;  // as bound
 
 private:
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -1,5 +1,7 @@
 #include "net/session.h"
 
+#include <boost/asio/post.hpp>
+
 namespace wingproxy::net {
 namespace {
 
@@ -7,7 +9,7 @@
 using SteadyClock = std::chrono::steady_clock;
 // For the client to read the last answer and close: while it still sends, as with a body that is too long, a
 // close would reset the connection and could take the answer back. The whole is bounded, and so is silence.
-constexpr std::chrono::milliseconds kLinger{2'000}, kLingerQuiet{300};
+constexpr std::chrono::milliseconds kLingerQuiet{300};
 constexpr std::chrono::milliseconds kTendEvery{200};
 
 }  // namespace
@@ -19,61 +21,89 @@
 void Session::read() {
     if (reading_ || !open_ || in_.space() == 0) return;
     reading_ = true;
-    socket_.async_read_some(
-        in_.room(), [self = shared_from_this()](const boost::system::error_code& error, std::size_t n) {
-            self->reading_ = false;
-            if (!self->open_) return;
-            if (error) {
-                if (!self->lingering_) self->left();
-                return self->close();
-            }
-            self->in_.commit(n);
-            if (self->lingering_) self->in_.clear(), self->lingerOn();
-            else self->received();
-            self->read();
-        });
+    socket_.async_read_some(in_.room(), [self = shared_from_this(), room = in_.space()](
+                                            const boost::system::error_code& error, std::size_t n) {
+        self->reading_ = false;
+        if (!self->open_) return;
+        if (error) {
+            if (!self->lingering_) self->left();
+            return self->close();
+        }
+        self->in_.commit(n);
+        self->drained_ = n < room;
+        if (self->lingering_) self->in_.clear(), self->lingerOn();
+        else self->received();
+        self->read();
+    });
 }
 
 void Session::send(std::string text) {
     if (!open_) return;
-    const bool idle = put_ == text_.size() && out_.size() == 0;
     text_.erase(0, put_);
     put_ = 0;
     text_ += text;
-    if (idle) write();
+    write();
+}
+
+void Session::feed(Source source) {
+    source_ = std::move(source);
+    write();
+}
+
+void Session::endFeed() {
+    source_ = nullptr;
+    // Not from within: who ends it may be in the middle of something.
+    boost::asio::post(door_.io(), [self = shared_from_this()] { self->write(); });
 }
 
 void Session::write() {
+    if (writing_ || !open_) return;
     put_ += out_.put(std::string_view(text_).substr(put_));
-    if (out_.size() == 0) {
+    if (put_ == text_.size()) {
         text_.clear();
         put_ = 0;
-        return sent();
     }
+    if (source_ && text_.empty()) {
+        writing_ = true;  // the source may end its feeding, and end this
+        const auto source = source_;
+        source(out_);
+        writing_ = false;
+        if (!open_) return;
+    }
+    if (out_.size() == 0) {
+        if (!source_ && text_.empty()) sent();
+        return;
+    }
+    writing_ = true;
     socket_.async_write_some(
         out_.data(), [self = shared_from_this()](const boost::system::error_code& error, std::size_t n) {
+            self->writing_ = false;
             if (!self->open_) return;
             self->out_.consume(n);
-            if (!error) return self->write();
+            if (!error) {
+                self->progressed();
+                return self->write();
+            }
             if (!self->lingering_) self->left();
             self->close();
         });
 }
 
 // A reset on unread bytes could take the answer back, so the sending side ends first.
-void Session::linger() {
+void Session::linger(std::chrono::milliseconds most) {
     if (!open_ || lingering_) return;
     lingering_ = true;
     boost::system::error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
     in_.clear();
     lingerSince_ = SteadyClock::now();
+    lingerUntil_ = lingerSince_ + most;
     lingerOn();
     read();
 }
 
 void Session::lingerOn() {
-    linger_.expires_at(std::min(SteadyClock::now() + kLingerQuiet, lingerSince_ + kLinger));
+    linger_.expires_at(std::min(SteadyClock::now() + kLingerQuiet, lingerUntil_));
     linger_.async_wait([self = shared_from_this()](const boost::system::error_code& moved) {
         if (!moved) self->close();
     });
@@ -133,14 +163,13 @@
 }
 
 bool Door::closeOldestIdle() {
+    std::shared_ptr<Session> first;
     for (const auto& session : sessions_)
-        if (session->spare()) {
-            ++closedIdle_;
-            const auto held = session;
-            held->close();
-            return true;
-        }
-    return false;
+        if ((!first || session->givesWay() < first->givesWay()) && session->spare()) first = session;
+    if (!first) return false;
+    ++closedIdle_;
+    first->close();
+    return true;
 }
 
 void Door::closeListener() { listener_.close(); }
--- a/src/net/session.h
+++ b/src/net/session.h
@@ -20,23 +20,34 @@
     virtual ~Session() = default;
     virtual void start() { read(); }
     virtual bool idle() const = 0;  // nothing is owed to the client: it may be closed
-    virtual void tend() {}          // looked at by its door now and then: closes what has waited too long
+    // Of those that may be closed to make room, the lowest first, and of equals the longest untouched.
+    virtual int givesWay() const { return 0; }
+    virtual void tend() {}  // looked at by its door now and then: closes what has waited too long
     void close();
 
 protected:
     virtual void received() = 0;  // there is more in in_
     virtual void left() {}        // the client closed, or its connection broke
-    virtual void sent() {}        // all that send() was given is written
+    virtual void sent() {}        // all that send() was given is written, and what was fed after it
+    virtual void progressed() {}  // the client took some of it
     void read();                  // goes on by itself while in_ has room
     void send(std::string text);
-    void linger();  // nothing more to say: the client closes, falls quiet, or a bound
-    void touch();   // now the last of the idle ones to be closed
+    // After what send() was given: more is asked for whenever the ring has room. Where there is none yet,
+    // poke() tells of it later; endFeed() when there will be none.
+    using Source = std::function<void(RingBuffer& out)>;
+    void feed(Source source);
+    void poke() { write(); }
+    void endFeed();
+    // Nothing more to say: the client closes, falls quiet, or a bound.
+    void linger(std::chrono::milliseconds most = std::chrono::milliseconds(2'000));
+    void touch();  // now the last of the idle ones to be closed
     bool open() const { return open_; }
     std::size_t unread() const;  // bytes that wait in the system
 
     Door& door_;
     boost::asio::ip::tcp::socket socket_;
     RingBuffer in_, out_;
+    bool drained_ = false;  // the last read took all that was there
 
 private:
     friend class Door;
@@ -46,8 +57,9 @@
     std::string text_;
     std::size_t put_ = 0;
     boost::asio::steady_timer linger_;
-    std::chrono::steady_clock::time_point lingerSince_;
-    bool open_ = true, reading_ = false, lingering_ = false;
+    std::chrono::steady_clock::time_point lingerSince_, lingerUntil_;
+    Source source_;
+    bool open_ = true, reading_ = false, writing_ = false, lingering_ = false;
     std::list<std::shared_ptr<Session>>::iterator place_;
 };
 
@@ -72,7 +84,7 @@
 
 private:
     friend class Session;
-    bool closeOldestIdle();
+    bool closeOldestIdle();  // of those that give way first
     void tend();
     boost::asio::io_context& io_;
     std::size_t most_, ring_;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -100,7 +100,6 @@
         hello();
     }
 
-    void act(const Action& action) { actions.push_back(action); }
 
     // ------------------------------------------------------------ leases
 
@@ -140,7 +139,8 @@
         v.lent.clear(), v.borrowed.clear();
     }
 
-    std::string handOver() {
+    std::string handOver(Micros t) {
+        now = t;
         std::map<Volume*, double> kept;
         for (auto& [name, v] : volumes) {
             refill(v);
@@ -396,10 +396,6 @@
 
     // ------------------------------------------------------------ node health and bound
 
-    bool coldNode(const Node& n) const {
-        return n.info.startedUs > 0 && now - n.info.startedUs < set.warmAfterUs;
-    }
-
     // A draining node serves on for a part of the grace where its cell has no other: what it turns away is no
     // worse off, and its successor is listed a second or two later.
     bool takes(const Node& n) const {
@@ -623,13 +619,6 @@
         dirty.insert(r.cell);
     }
 
-    void unhold(Pending& r) {
-        if (!r.held) return;
-        r.held = false;
-        if (!r.tookTokens) r.volume->heldUnits = std::max(0.0, r.volume->heldUnits - r.info.units);
-        cellAt(r.cell).held.erase({r.due, r.seq});
-    }
-
     int nodeFor(const Pending& r, const Cell& c) {
         int best = -1;
         double least = 0;
@@ -718,12 +707,6 @@
 
     // ------------------------------------------------------------ attempts and answers
 
-    bool sameGroup(const Pending& r, const Node& n) const {
-        if (r.pinnedNode < 0 || r.cls->scope == Scope::All) return true;
-        const NodeInfo& first = nodes.at(r.pinnedNode).info;
-        return r.cls->scope == Scope::Cell ? first.cell == n.info.cell : first.zone == n.info.zone;
-    }
-
     // The one guard before every send: rules 1 to 7, as far as a send can break them.
     bool maySend(const Pending& r, int index) {
         Node& n = nodes.at(index);
@@ -771,6 +754,7 @@
         }
         if (stalled(n)) n.trickleAt = now;
         if (n.out == 0) n.progressAt = now;
+        if (!r.filling) ++n.out;
         if (r.attempts > 0 && set.retrySpanUs > 0) furtherSends.push_back(now);
         if (coldNode(n)) {
             n.coldSends.emplace_back(now, r.info.units);
@@ -780,7 +764,6 @@
         r.sentTo[r.attempts++] = index;
         r.sentAt = now;
         ++r.out;
-        ++n.out;
         act(Send{r.info.id, n.info.id, 0});
     }
 
@@ -790,7 +773,7 @@
         std::map<std::uint64_t, Cancel> lost;
         std::set<int> unsure;
         for (const auto& [id, r] : requests) {
-            if (r.out != 1 || r.streaming) continue;
+            if (r.out != 1 || r.streaming || r.filling || r.worked) continue;
             const auto& [attempt, index] = *r.sentTo.begin();
             const Node& n = nodes[std::size_t(index)];
             const double age = double(now - r.sentAt), usual = std::max(n.latency, n.perUnit * r.info.units);
@@ -817,8 +800,9 @@
         if (r.done) return;
         unhold(r);
         r.done = true;
-        if (r.attempts == 0 && r.inReserve) r.volume->reserveTokens += r.info.units;    // unspent
-        if (r.attempts == 0 && r.inShare) r.volume->byCell[r.cell].share += r.info.units;
+        const bool unspent = !r.maybeRun && r.out == 0;
+        if (unspent && r.inReserve) r.volume->reserveTokens += r.info.units;
+        if (unspent && r.inShare) r.volume->byCell[r.cell].share += r.info.units;
         if (KeyTurn* turn = turnOf(r)) {
             std::erase(turn->order, r.info.id);
             turn->strayOut += r.out;
@@ -832,6 +816,7 @@
         if (!fresh) return;
         Pending& r = it->second;
         r.info = q;
+        r.filling = q.filling;
         r.cls = q.classIndex < 0 ? nullptr : &set.classes.at(q.classIndex);
         r.volume = &volumeOf(q);
         r.arrival = now;
@@ -850,19 +835,21 @@
     }
 
     void on(const AttemptEnded& e) {
-        const auto it = requests.find(e.id);
-        if (it == requests.end()) return;
-        Pending& r = it->second;
+        Pending* const open = find(e.id);
+        if (!open || !open->sentTo.count(e.attempt)) return;
+        Pending& r = *open;
         const auto sent = r.sentTo.find(e.attempt);
-        if (sent == r.sentTo.end()) return;
         const int index = sent->second;
         Node& n = nodes.at(index);
         r.sentTo.erase(sent);
         --r.out;
-        --n.out;
+        const bool placed = !r.filling && !std::exchange(r.worked, false);
+        if (placed) --n.out;
         const auto is = [&](auto... o) { return ((e.outcome == o) || ...); };
         const bool ran = !is(Outcome::Full, Outcome::ConnectFailed, Outcome::Moot);
-        if (e.outcome != Outcome::Moot) learn(n, r, e.tookUs, e.outcome);
+        // Of a request that was over, or whose body was on its way, a refusal says nothing.
+        const bool says = placed ? !(e.spent && is(Outcome::Full)) : !is(Outcome::Ok, Outcome::Error);
+        if (says && e.outcome != Outcome::Moot) learn(n, r, e.tookUs, e.outcome);
         dirty.insert(n.info.cell);
         KeyTurn* turn = turnOf(r);
         if (turn && is(Outcome::Timeout, Outcome::Reset, Outcome::Cancelled)) {
@@ -871,12 +858,13 @@
         }
         if (r.done) {
             if (turn) turn->strayOut = std::max(0, turn->strayOut - 1);
-            if (r.out == 0) requests.erase(it);
+            if (r.out == 0) requests.erase(e.id);
             return;
         }
         if (ran) r.maybeRun = true;
         else if (!r.maybeRun) r.pinnedNode = -1;
         if (e.closed || e.outcome == Outcome::Ok) { finishRequest(r); return; }
+        if (e.spent) { giveUp(r, 0); return; }
         again(r);
     }
 
@@ -949,11 +937,27 @@
         if (it == nodeIndex.end() || e.outcome != Outcome::Ok) return;
         nodes[it->second].newestSent = std::max(nodes[it->second].newestSent, now - e.tookUs);
     }
-    void on(const RequestGone& e) {
-        if (const auto it = requests.find(e.id); it != requests.end()) finishRequest(it->second);
-    }
+    void on(const RequestGone& e) { if (Pending* r = find(e.id)) finishRequest(*r); }
     void on(const StreamStarted& e) {
-        if (const auto it = requests.find(e.id); it != requests.end()) it->second.streaming = true;
+        Pending* const r = find(e.id);
+        if (!r || !r->sentTo.count(e.attempt)) return;
+        r->streaming = r->streaming || e.passing;
+        if (!e.worked || r->filling || std::exchange(r->worked, true)) return;
+        Node& n = nodes.at(r->sentTo.at(e.attempt));
+        learn(n, *r, e.tookUs, Outcome::Ok);
+        --n.out, dirty.insert(n.info.cell);
+    }
+    void on(const Filled& e) {
+        Pending* const r = find(e.id);
+        if (!r || !r->filling) return;
+        const bool waits = r->held;
+        unhold(*r);
+        r->info.deadlineUs = e.deadlineUs;
+        r->due = std::min(now + (r->cls && r->cls->aimUs > 0 ? r->cls->aimUs : kNoAim), e.deadlineUs);
+        r->filling = false, r->sentAt = now;
+        if (waits) hold(*r);
+        for (const auto& [attempt, index] : r->sentTo)
+            if (Node& n = nodes.at(index); n.out++ == 0) n.progressAt = now;
     }
     // The front runs out of connections for other requests: of what only waits here the least worthy goes.
     void on(const Crowded& e) {
@@ -1024,10 +1028,7 @@
 }
 
 std::size_t Policy::kept() const { return impl_->Memory::kept(); }
-std::string Policy::handOver(Micros now) {
-    impl_->now = now;
-    return impl_->handOver();
-}
+std::string Policy::handOver(Micros now) { return impl_->handOver(now); }
 bool Policy::restore(const std::string& bytes) { return loadMemory(bytes, *impl_); }
 
 std::size_t Policy::avoided() const {
--- a/src/state.h
+++ b/src/state.h
@@ -114,6 +114,7 @@
     Micros arrival = 0, due = 0, sentAt = 0, firstMaybeRun = kNever;
     std::uint64_t seq = 0;
     int cell = -1, attempts = 0, out = 0, pinnedNode = -1;
+    bool filling = false, worked = false;       // no place at a node: before its last byte, and while only bytes pass
     bool done = false, held = false, inReserve = false, inShare = true, tookTokens = false, maybeRun = false,
          streaming = false;
     std::map<int, int> sentTo;          // attempt number -> node, while out
@@ -181,6 +182,30 @@
         return it == turns.end() ? nullptr : &it->second;
     }
 
+    Pending* find(RequestId id) {
+        const auto it = requests.find(id);
+        return it == requests.end() ? nullptr : &it->second;
+    }
+
+    bool coldNode(const Node& n) const {
+        return n.info.startedUs > 0 && now - n.info.startedUs < set.warmAfterUs;
+    }
+
+    bool sameGroup(const Pending& r, const Node& n) const {
+        if (r.pinnedNode < 0 || r.cls->scope == Scope::All) return true;
+        const NodeInfo& first = nodes.at(r.pinnedNode).info;
+        return r.cls->scope == Scope::Cell ? first.cell == n.info.cell : first.zone == n.info.zone;
+    }
+
+    void unhold(Pending& r) {
+        if (!r.held) return;
+        r.held = false;
+        if (!r.tookTokens) r.volume->heldUnits = std::max(0.0, r.volume->heldUnits - r.info.units);
+        cellAt(r.cell).held.erase({r.due, r.seq});
+    }
+
+    void act(const Action& action) { actions.push_back(action); }
+
     std::size_t kept() const {                  // entries in all tables
         return nodeIndex.size() + volumes.size() + shared.size() + rolls.size() + requests.size() + turns.size();
     }
