--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -1034,7 +1034,8 @@
 std::size_t Policy::avoided() const {
     const Impl& p = *impl_;
     return std::size_t(std::count_if(p.nodes.begin(), p.nodes.end(), [&](const Node& n) {
-        return n.listed && (!n.ready() || p.stalled(n));
+        const bool tried = p.now - std::max(n.trickleAt, n.progressAt) < kRateMemory;   // or used, of late
+        return n.listed && (!n.ready() || (p.stalled(n) && !tried));
     }));
 }
 
