--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -207,3 +207,37 @@
     platform.untilSaid(next, "snapshot refused, cut short");
     platform.serve(platform.client(), "0000000000000001");
 }
+
+// What the old process took it finishes, however long its bytes go on; what comes meanwhile is the new one's.
+TEST_CASE("an upgrade with long bodies in flight both ways: each comes whole") {
+    Platform platform;
+    auto& rig = platform.rig;
+    auto& old = platform.start();
+    platform.untilReady(old);
+    const std::string body(200'000, 'b');
+    const auto up = platform.client(), down = platform.client();
+    auto put = Ask{.id = "00000000000000b1", .kind = "alta", .body = body, .deadlineMs = 3000}.text();
+    up->say(put.substr(0, put.size() - 60'000));
+    const auto taker = rig.nodeHas("00000000000000b1");
+    down->say(Ask{.id = "00000000000000b2"}.text());
+    const auto giver = rig.nodeHas("00000000000000b2");
+    const auto answer = ok(body);
+    giver->say(answer.substr(0, 120'000));
+    rig.until([&] { return down->got.size() > 100'000; });
+    auto& next = platform.start();
+    platform.untilReady(next);
+    old.signal(SIGTERM);
+    platform.untilSaid(next, "taken over after");
+    up->say(put.substr(put.size() - 60'000));
+    giver->say(answer.substr(120'000));
+    rig.until([&] { return down->has(body); }, "the answer is whole");
+    rig.until([&] { return taker->has(body); }, "the body is whole");
+    taker->say(ok("hecho"));
+    rig.until([&] { return up->has("hecho"); });
+    const auto meanwhile = platform.client();
+    meanwhile->say(Ask{.id = "00000000000000b3"}.text());
+    rig.nodeHas("00000000000000b3")->say(ok("nuevo"));
+    rig.until([&] { return meanwhile->has("nuevo"); });
+    rig.until([&] { return !old.running(); }, "the old process ends");
+    CHECK(old.status == 0);
+}
