Share body reading, chunk framing and the node archive; drop what the change left unused

MessageReader::append and net::putPiece serve front and node client; NodeInfo has one serialize, where two copies could drift apart; net::Clock replaces a second clock; the written callback of Exchange, a member and an accessor had no user.

--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -163,8 +163,8 @@
         return requests_.size() + alarms_.size() + listed_.size() + drains_.size() + words_.size() +
                policy_.kept();
     }
-    std::size_t listed() const { return listed_.size(); }
-    std::size_t avoided() const { return policy_.avoided(); }  // of those: by hand, draining, or by choice
+    // Listed nodes that it does not use: by hand, draining, or by choice.
+    std::size_t avoided() const { return policy_.avoided(); }
     bool everListed(const std::string& node) const { return listed_.contains(node) || seen_.contains(node); }
     const Words& words() const { return words_; }
     std::size_t outByHand() const;
--- a/src/handover/snapshot.cpp
+++ b/src/handover/snapshot.cpp
@@ -11,12 +11,9 @@
 #include <cstring>
 #include <sstream>
 
-namespace wingproxy {
+#include "node_info_archive.h"
 
-template <typename A>
-void serialize(A& a, NodeInfo& n) {
-    a(n.id, n.zone, n.cell, n.rating, n.state, n.startedUs);
-}
+namespace wingproxy {
 
 namespace config {
 template <typename A>
--- a/src/handover/succession.cpp
+++ b/src/handover/succession.cpp
@@ -7,12 +7,6 @@
 constexpr std::chrono::milliseconds kLookEvery{5};
 constexpr std::size_t kMostWords = 1024 * 1024;
 
-Micros unixNow() {
-    return std::chrono::duration_cast<std::chrono::microseconds>(
-               std::chrono::system_clock::now().time_since_epoch())
-        .count();
-}
-
 }  // namespace
 
 Succession::Succession(boost::asio::io_context& io, std::string folder, std::string front,
@@ -52,7 +46,7 @@
     successor_.release();
     std::optional<Snapshot> snapshot;
     if (const auto bytes = readFile(path("snapshot"), kMostBytes)) {
-        auto read = decode(*bytes, front_, unixNow());
+        auto read = decode(*bytes, front_, net::Clock().now());
         if (const auto* refused = std::get_if<Refused>(&read)) {
             ++counters_.refused;
             logger_.warn("handover: snapshot refused, {}; starting as after a crash", refused->why);
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -37,7 +37,6 @@
 // Where no new connections come, this part of those that are open is kept free, and so many at the least: a
 // client that finds all of them busy takes the front for dead.
 constexpr std::size_t kFreePart = 3, kLeastFree = 4;
-constexpr std::size_t kFrame = 16;  // a chunk's size and ends
 
 }  // namespace
 
@@ -112,7 +111,6 @@
     bool oldClient_ = false;                     // HTTP/1.0
     Clock::time_point since_;     // connecting, a request's first byte, or when its answer last went on
     Clock::time_point lastByte_;  // of the client's
-    std::size_t taken_ = 0;       // bytes of the body so far
     Micros emptyAt_ = 0;          // the body's last byte had not been written then
     Micros waitUs_ = 0;
     std::function<void()> more_;
@@ -207,13 +205,8 @@
         const auto length = reader_->parser().content_length();
         if (length && *length > kMostWhole) return begin(Framing{false, *length});
     }
-    char piece[16 * 1024];
-    while (!reader_->done() && !error) {
-        const auto n = reader_->body(in_, piece, sizeof piece, error);
-        body_.append(piece, n);
-        if (body_.size() > kMostWhole) return begin(Framing{true, 0});
-        if (n < sizeof piece) break;
-    }
+    reader_->append(in_, body_, kMostWhole, error);
+    if (body_.size() > kMostWhole) return begin(Framing{true, 0});
     if (error) return reject(error);
     if (reader_->done()) return begin({});
     if (in_.space() == 0) reject(beast::http::error::bad_chunk);  // what is no body fits no ring
@@ -384,12 +377,10 @@
     send(headForClient(200, fields, keepAlive_));
     feed([this, take = std::move(take)](net::RingBuffer& out) {
         char piece[16 * 1024];
-        while (passing_ && out.space() > kFrame) {
-            const auto n = take(piece, std::min(sizeof piece, out.space() - kFrame));
+        while (passing_ && out.space() > net::kFrame) {
+            const auto n = take(piece, std::min(sizeof piece, out.space() - net::kFrame));
             if (n == 0) break;
-            if (chunked_) out.put(fmt::format("{:x}\r\n", n));
-            out.put({piece, n});
-            if (chunked_) out.put("\r\n");
+            net::putPiece(out, {piece, n}, chunked_);
         }
     });
 }
--- a/src/http/node_client.cpp
+++ b/src/http/node_client.cpp
@@ -55,19 +55,16 @@
     std::string().swap(text_);
     put_ = 0;
     const auto caller = caller_.lock();
-    constexpr std::size_t kFrame = 16;  // a chunk's size and ends
     char piece[16 * 1024];
-    while (!bodyPut_ && caller && out.space() > kFrame) {
-        const auto n = caller->takeBody(piece, std::min(sizeof piece, out.space() - kFrame));
+    while (!bodyPut_ && caller && out.space() > net::kFrame) {
+        const auto n = caller->takeBody(piece, std::min(sizeof piece, out.space() - net::kFrame));
         if (over_) return false;
         if (n > 0) {
             spent_ = true;
-            if (framing_->chunked) out.put(fmt::format("{:x}\r\n", n));
-            out.put({piece, n});
-            if (framing_->chunked) out.put("\r\n");
+            net::putPiece(out, {piece, n}, framing_->chunked);
         }
         if (caller->bodyTaken()) {
-            if (out.space() < kFrame) break;  // room for the end comes
+            if (out.space() < net::kFrame) break;  // room for the end comes
             if (framing_->chunked) out.put("0\r\n\r\n");
             bodyPut_ = true;
         } else if (n == 0) {
@@ -157,16 +154,10 @@
 }
 
 void NodeAttempt::readWhole(boost::system::error_code& error) {
-    char piece[16 * 1024];
-    while (!error) {
-        const auto n = reader_->body(connection_->in, piece, sizeof piece, error);
-        body_.append(piece, n);
-        if (body_.size() > kMostWhole) {
-            if (reader_->parser().get().result_int() == 200 && written_) return beginPassing();
-            error = beast::http::error::body_limit;
-        }
-        if (n < sizeof piece) break;
-    }
+    reader_->append(connection_->in, body_, kMostWhole, error);
+    if (body_.size() <= kMostWhole) return;
+    if (reader_->parser().get().result_int() == 200 && written_) return beginPassing();
+    error = beast::http::error::body_limit;
 }
 
 // From now on the answer is the client's: it is passed on as it comes, and no other attempt can take its
--- a/src/memory_archive.cpp
+++ b/src/memory_archive.cpp
@@ -9,12 +9,10 @@
 #include <cereal/types/vector.hpp>
 #include <sstream>
 
+#include "node_info_archive.h"
+
 namespace wingproxy {
 
-template <typename A>
-void serialize(A& a, NodeInfo& n) {
-    a(n.id, n.zone, n.cell, n.rating, n.state, n.startedUs);
-}
 template <typename A>
 void serialize(A& a, Rate& r) {
     a(r.value, r.at);
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -28,17 +28,13 @@
     parser_->header_limit(headLimit(connection_->in));
 }
 
-void Exchange::start(std::function<void()> written) {
-    written_ = std::move(written);
-    write();
-}
+void Exchange::start() { write(); }
 
 void Exchange::write() {
     auto& out = connection_->out;
     put_ += out.put(std::string_view(request_).substr(put_));
     if (out.size() == 0) {
         std::string().swap(request_);
-        if (const auto written = std::exchange(written_, nullptr)) written();
         read();
         return;
     }
--- a/src/net/exchange.h
+++ b/src/net/exchange.h
@@ -25,10 +25,10 @@
     // An answer that does not fit into the budget has broken; without one only its own limit counts.
     Exchange(std::shared_ptr<Connection> connection, std::string request, std::size_t bodyLimit, Done done,
              ByteBudget* budget = nullptr, std::chrono::microseconds stall = kStall);
-    void start(std::function<void()> written = nullptr);  // called when the last byte is with the system
-    void abandon();                                       // closes the connection, calls nothing
-    std::shared_ptr<Connection> reusable();               // after Answered: the connection, if it may go on
-    ByteBudget::Hold hold() const { return hold_; }       // of the answer's body
+    void start();
+    void abandon();                                  // closes the connection, calls nothing
+    std::shared_ptr<Connection> reusable();          // after Answered: the connection, if it may go on
+    ByteBudget::Hold hold() const { return hold_; }  // of the answer's body
 
 private:
     void write();
@@ -42,7 +42,6 @@
     std::string request_;
     std::size_t put_ = 0;  // bytes of the request handed to the ring
     Done done_;
-    std::function<void()> written_;
     std::size_t bodyLimit_;
     ByteBudget* budget_;
     ByteBudget::Hold hold_;
--- a/src/net/http_step.h
+++ b/src/net/http_step.h
@@ -1,11 +1,15 @@
 // Beast's parser over a ring, the same for requests and answers: whole messages, or bodies piece by piece.
 #pragma once
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <cstdint>
+#include <string>
+#include <string_view>
 
 #include "net/byte_budget.h"
 #include "net/ring_buffer.h"
@@ -29,6 +33,14 @@
     return used > 0;
 }
 
+// A piece of a body for the other side; in chunks it takes up to kFrame bytes besides.
+constexpr std::size_t kFrame = 16;
+inline void putPiece(RingBuffer& out, std::string_view piece, bool chunked) {
+    if (chunked) out.put(fmt::format("{:x}\r\n", piece.size()));
+    out.put(piece);
+    if (chunked) out.put("\r\n");
+}
+
 // A message whose body is taken out in pieces of any size, as far as its bytes are in the ring.
 template <bool isRequest>
 class MessageReader {
@@ -64,6 +76,14 @@
         body.size = 0;
         return moved;
     }
+    // Adds what is here of the body, until the text is longer than that.
+    void append(RingBuffer& in, std::string& to, std::size_t most, boost::system::error_code& error) {
+        char piece[16 * 1024];
+        for (auto n = sizeof piece; n == sizeof piece && to.size() <= most && !error;) {
+            n = body(in, piece, sizeof piece, error);
+            to.append(piece, n);
+        }
+    }
     // The other side closed, which ends a body without a length.
     void ended(boost::system::error_code& error) { parser_.put_eof(error); }
     bool done() const { return parser_.is_done(); }
