Drop the body budget of Exchange, which lost its user, and share the tests' start of a process

Attempts read their answers themselves since long bodies pass through; discovery and probes have only the limit of their own.

--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -11,12 +11,11 @@
 }  // namespace
 
 Exchange::Exchange(std::shared_ptr<Connection> connection, std::string request, std::size_t bodyLimit,
-                   Done done, ByteBudget* budget, std::chrono::microseconds stall)
+                   Done done, std::chrono::microseconds stall)
     : connection_(std::move(connection)),
       request_(std::move(request)),
       done_(std::move(done)),
       bodyLimit_(bodyLimit),
-      budget_(budget),
       stallIn_(stall),
       stall_(connection_->socket.get_executor()) {
     next();
@@ -63,14 +62,9 @@
     auto& in = connection_->in;
     boost::system::error_code error;
     while (in.size() > 0 && !parser_->is_done() && step(*parser_, in, error)) {
-        if (budget_ && !hold_ && parser_->is_header_done()) {
-            hold_ = holdBody(*parser_, *budget_, bodyLimit_);
-            if (!hold_) error = http::error::body_limit;
-        }
-        if (error) break;
         if (!parser_->is_done()) continue;
         const auto status = parser_->get().result_int();
-        if (status / 100 == 1 && status != 101 && interim_++ < kMostInterim) hold_ = nullptr, next();
+        if (status / 100 == 1 && status != 101 && interim_++ < kMostInterim) next();
     }
     // Only a node that says so ends its answer by closing: here any other is an answer that lost its length.
     const bool toTheEnd = !error && parser_->is_header_done() && !parser_->is_done() && parser_->need_eof();
--- a/src/net/exchange.h
+++ b/src/net/exchange.h
@@ -8,7 +8,6 @@
 #include <optional>
 #include <string>
 
-#include "net/byte_budget.h"
 #include "net/node_pool.h"
 
 namespace wingproxy::net {
@@ -22,13 +21,11 @@
     // An answer that has begun goes on within this time or has broken: what claims more than it brings would
     // else hold its request until the deadline. Long against a lost packet that is sent again.
     static constexpr std::chrono::milliseconds kStall{250};
-    // An answer that does not fit into the budget has broken; without one only its own limit counts.
     Exchange(std::shared_ptr<Connection> connection, std::string request, std::size_t bodyLimit, Done done,
-             ByteBudget* budget = nullptr, std::chrono::microseconds stall = kStall);
+             std::chrono::microseconds stall = kStall);
     void start();
-    void abandon();                                  // closes the connection, calls nothing
-    std::shared_ptr<Connection> reusable();          // after Answered: the connection, if it may go on
-    ByteBudget::Hold hold() const { return hold_; }  // of the answer's body
+    void abandon();                          // closes the connection, calls nothing
+    std::shared_ptr<Connection> reusable();  // after Answered: the connection, if it may go on
 
 private:
     void write();
@@ -43,8 +40,6 @@
     std::size_t put_ = 0;  // bytes of the request handed to the ring
     Done done_;
     std::size_t bodyLimit_;
-    ByteBudget* budget_;
-    ByteBudget::Hold hold_;
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser_;
     std::chrono::microseconds stallIn_;
     boost::asio::steady_timer stall_;
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -360,7 +360,7 @@
     rig.until([&] { return connection && !rig.node().wires.empty(); });
     std::optional<net::Exchange::Result> result;
     const auto exchange = std::make_shared<net::Exchange>(
-        connection, "GET /api HTTP/1.1\r\n\r\n", 100, [&](auto how, const auto&) { result = how; }, nullptr,
+        connection, "GET /api HTTP/1.1\r\n\r\n", 100, [&](auto how, const auto&) { result = how; },
         std::chrono::milliseconds(50));
     exchange->start();
     auto& node = rig.node().wires[0]->socket;
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -129,14 +129,12 @@
 TEST_CASE("two upgrades in a row under requests: each has its answer, and a node out by hand stays out") {
     Platform platform;
     platform.rig.node().greets = [](Wire& wire) { wire.reply = ok("x"); };
-    auto* serving = &platform.start();
-    platform.untilReady(*serving);
+    auto* serving = &platform.startReady();
     int id = 0;
     for (int upgrade = 0; upgrade < 2; ++upgrade) {
         const auto kept = platform.client();
         platform.serve(kept, fmt::format("{:016x}", ++id));
-        auto& next = platform.start();
-        platform.untilReady(next);
+        auto& next = platform.startReady();
         platform.serve(platform.client(), fmt::format("{:016x}", ++id));  // still the old one's
         if (upgrade == 1)
             CHECK(platform.post(*serving, "/_chunk-servers/detach", "s-0").starts_with("HTTP/1.1 200"));
@@ -160,12 +158,10 @@
 TEST_CASE("a call that the old process hears after the hand-over reaches the new one") {
     Platform platform;
     platform.rig.node().greets = [](Wire& wire) { wire.reply = ok("x"); };
-    auto& old = platform.start();
-    platform.untilReady(old);
+    auto& old = platform.startReady();
     const auto held = platform.client();  // keeps the old process here
     platform.serve(held, "0000000000000001");
-    auto& next = platform.start();
-    platform.untilReady(next);
+    auto& next = platform.startReady();
     old.signal(SIGTERM);
     platform.untilSaid(old, "given to the other process");
     CHECK(platform.post(old, "/_chunk-servers/detach", "s-0").starts_with("HTTP/1.1 200"));
@@ -178,11 +174,9 @@
 TEST_CASE("a successor that dies before the hand-over leaves an ordinary stop") {
     Platform platform;
     platform.rig.node().greets = [](Wire& wire) { wire.reply = ok("x"); };
-    auto& old = platform.start();
-    platform.untilReady(old);
+    auto& old = platform.startReady();
     {
-        auto& next = platform.start();
-        platform.untilReady(next);
+        auto& next = platform.startReady();
         next.signal(SIGKILL);
         platform.rig.until([&] { return !next.running(); });
     }
@@ -198,10 +192,8 @@
     "a process that dies without a word is followed at once, and what it left half written is refused") {
     Platform platform;
     platform.rig.node().greets = [](Wire& wire) { wire.reply = ok("x"); };
-    auto& old = platform.start();
-    platform.untilReady(old);
-    auto& next = platform.start();
-    platform.untilReady(next);
+    auto& old = platform.startReady();
+    auto& next = platform.startReady();
     std::ofstream(platform.folder / "wingproxy.snapshot") << "WPS1 half";
     old.signal(SIGKILL);
     platform.untilSaid(next, "snapshot refused, cut short");
@@ -212,8 +204,7 @@
 TEST_CASE("an upgrade with long bodies in flight both ways: each comes whole") {
     Platform platform;
     auto& rig = platform.rig;
-    auto& old = platform.start();
-    platform.untilReady(old);
+    auto& old = platform.startReady();
     const std::string body(200'000, 'b');
     const auto up = platform.client(), down = platform.client();
     auto put = Ask{.id = "00000000000000b1", .kind = "alta", .body = body, .deadlineMs = 3000}.text();
@@ -224,8 +215,7 @@
     const auto answer = ok(body);
     giver->say(answer.substr(0, 120'000));
     rig.until([&] { return down->got.size() > 100'000; });
-    auto& next = platform.start();
-    platform.untilReady(next);
+    auto& next = platform.startReady();
     old.signal(SIGTERM);
     platform.untilSaid(next, "taken over after");
     up->say(put.substr(put.size() - 60'000));
--- a/tests/process_support.h
+++ b/tests/process_support.h
@@ -105,6 +105,11 @@
         rig.until([&] { return call(p, "GET /_ready HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 200 "); },
                   "yes");
     }
+    Process& startReady() {
+        auto& p = start();
+        untilReady(p);
+        return p;
+    }
     void untilSaid(const Process& p, const char* text) {
         rig.until([&] { return p.said(text); }, text);
     }
