Tell a client whose object lies elsewhere to come back at once, not after 50 ms

The front advised it to wait 50 ms (kLeastAdvice), a wait that spares a backlog and there is none. Policy::on(AttemptEnded) gave up what is spent with that same least advice.

Change: giveUp takes the least advice; after a refusal of the request itself it is 1 ms. The test of 504s checks the header and fails without the change.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -81,6 +81,7 @@
 // its use that a peer still counts.
 constexpr Micros kForget = 30'000'000, kForgetEvery = 1'000'000;
 constexpr Micros kLeastAdvice = 50'000;     // coming back sooner meets the same backlog
+constexpr Micros kMovedAdvice = 1'000;      // a try that names its object's shard meets none
 
 constexpr std::uint64_t kTickToken = 1;     // the one timer there is
 constexpr Micros kNoAim = 1'000'000;         // stands in where no class states one
@@ -789,8 +790,8 @@
                 n.probedAt = now, act(ProbeNode{n.info.id});
     }
 
-    void giveUp(Pending& r, Micros wait) {
-        const Micros advice = std::min(std::max(wait, kLeastAdvice), set.maxRetryAfterUs);
+    void giveUp(Pending& r, Micros wait, Micros least = kLeastAdvice) {
+        const Micros advice = std::min(std::max(wait, least), set.maxRetryAfterUs);
         if (mayRefuse(r)) act(Refuse{r.info.id, set.retryAdvice ? advice : 0});
         else act(Fail{r.info.id});
         finishRequest(r);
@@ -864,7 +865,7 @@
         if (ran) r.maybeRun = true;
         else if (!r.maybeRun) r.pinnedNode = -1;
         if (e.closed || e.outcome == Outcome::Ok) { finishRequest(r); return; }
-        if (e.spent) { giveUp(r, 0); return; }
+        if (e.spent) { giveUp(r, 0, is(Outcome::Full) ? kMovedAdvice : kLeastAdvice); return; }
         again(r);
     }
 
--- a/tests/bodies_test.cpp
+++ b/tests/bodies_test.cpp
@@ -282,6 +282,8 @@
         const auto node = rig.nodeHas("Req-Id");
         node->drop(), node->say(i == 2 ? ok("x") : status(504, "Srv-Declined: 1\r\n"));
         rig.until([&] { return client->has(i == 2 ? " 200 " : " 503 "); });
+        // The next try names the right node: it need not wait, as it meets no backlog.
+        CHECK(client->has("Retry-After: 0.001\r\n") == (i != 2));
     }
     CHECK(rig.engine.counters().attempts == 3);
     CHECK(rig.engine.avoided() == 0);
