Add a command line: check, ready, vars, detach and attach, on CLI11

Need: staff had curl and the environment only; a wrong file showed itself by a front that did not start.

Change: src/cli reads the words, src/operation/ask makes one call from outside, main runs what was asked.

Three more hand-over tests close what was open there: an upgrade during a reload, a detach or attach in the very instant of a hand-over under requests, and a successor that dies after it took over (the next process serves at once; the old one does not take the right back, docs/handover.md says why).

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -8,6 +8,7 @@
 #include <cstdlib>
 #include <functional>
 
+#include "cli/command.h"
 #include "config/config.h"
 #include "config/operator.h"
 #include "handover/succession.h"
@@ -15,6 +16,7 @@
 #include "http/front.h"
 #include "net/discovery.h"
 #include "net/peers.h"
+#include "operation/ask.h"
 #include "operation/door.h"
 #include "rsync/front.h"
 
@@ -362,22 +364,81 @@
 
 }  // namespace
 
-int main() {
-    const char* level = std::getenv("WINGPROXY_LOG");
-    log::Logger logger(log::levelFrom(level ? level : "info"));
+namespace {
+
+struct Files {
+    config::Config config;
+    config::Operator extra;
+};
+
+const char* set(const std::string& text) { return text.empty() ? nullptr : text.c_str(); }
+
+config::Config readConfig(const cli::Files& files) {
+    if (files.config.empty()) throw config::Bad("PROXY_CONFIG: not set, and no --config");
+    auto config = config::parseConfig(config::readFile(files.config));
+    config::fromEnvironment(config, set(files.mgmt), set(files.descriptor));
+    return config;
+}
+
+Files readFiles(const cli::Files& files) {
+    Files read{readConfig(files), {}};
+    if (!files.operators.empty())
+        read.extra = config::parseOperator(config::readFile(files.operators), read.config.settings);
+    return read;
+}
+
+// Where the front is asked: what --mgmt or the environment says needs no configuration beside it.
+config::Endpoint deskOf(const cli::Files& files) {
+    if (!files.mgmt.empty()) return config::parseEndpoint(files.mgmt, "mgmt");
+    const auto at = readConfig(files).mgmt;
+    if (at.port == 0) throw config::Bad("mgmt: neither in the configuration nor told by --mgmt");
+    return at;
+}
+
+int run(const cli::Serve& command, log::Logger& logger) {
+    const auto read = readFiles(command.files);
+    Program(command.files.config, read.config, read.extra, logger).run();
+    return cli::kDone;
+}
+
+int run(const cli::Check& command, log::Logger&) {
+    const auto read = readFiles(command.files);
+    fmt::print("good: {} at {}:{}, {} peers, {} known nodes{}\n", read.config.name, read.config.listen.host,
+               read.config.listen.port, read.config.peers.size(), read.config.known.list.nodes.size(),
+               command.files.operators.empty() ? ", no operator's file" : "");
+    return cli::kDone;
+}
+
+int run(const cli::Ask& command, log::Logger& logger) {
+    const auto at = deskOf(command.files);
+    const auto asked = operation::ask(at, command.call);
+    if (!asked.reply) {
+        logger.error("no front answers at {}:{}: {}", at.host, at.port, asked.why);
+        return cli::kUnreachable;
+    }
+    const bool yes = asked.reply->status / 100 == 2;
+    fmt::print(yes ? stdout : stderr, "{}", asked.reply->body);
+    return yes ? cli::kDone : cli::kNo;
+}
+
+int run(const cli::End& command, log::Logger&) { return command.code; }
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    const auto command = cli::parse(argc, argv);
+    const auto level = std::visit(
+        [](const auto& c) {
+            if constexpr (requires { c.files; }) return c.files.logLevel;
+            else return std::string();
+        },
+        command);
+    log::Logger logger(log::levelFrom(level.empty() ? "info" : level));
     std::signal(SIGPIPE, SIG_IGN);
     try {
-        const char* path = std::getenv("PROXY_CONFIG");
-        if (!path) throw config::Bad("PROXY_CONFIG: not set");
-        auto config = config::parseConfig(config::readFile(path));
-        config::fromEnvironment(config, std::getenv("PROXY_MGMT"), std::getenv("PROXY_FD"));
-        config::Operator extra;
-        if (const char* file = std::getenv("WINGPROXY_OPERATOR"))
-            extra = config::parseOperator(config::readFile(file), config.settings);
-        Program(path, config, extra, logger).run();
+        return std::visit([&](const auto& c) { return run(c, logger); }, command);
     } catch (const std::exception& error) {
         logger.error("{}", error.what());
-        return 2;
+        return cli::kWrong;
     }
-    return 0;
 }
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -231,3 +231,87 @@
     rig.until([&] { return !old.running(); }, "the old process ends");
     CHECK(old.status == 0);
 }
+
+// A file that moves discovery is read by the old process in the instant in which it hands over: neither
+// undoes the other, and the successor has read the new file at its own start.
+TEST_CASE("an upgrade during a reload: the old process does both, and requests go on") {
+    Platform platform;
+    platform.rig.node().greets = [](Wire& wire) { wire.reply = ok("x"); };
+    auto& old = platform.startReady();
+    const auto held = platform.client();
+    platform.serve(held, "0000000000000001");
+    auto& next = platform.startReady();
+    old.signal(SIGHUP);
+    old.signal(SIGTERM);
+    platform.untilSaid(next, "taken over after");
+    platform.serve(held, "0000000000000002");  // the old one's last answer on it
+    platform.serve(platform.client(), "0000000000000003");
+    next.signal(SIGHUP);  // and one that reaches the successor in its first moments
+    platform.untilSaid(next, "reloaded: discovery at");
+    platform.serve(platform.client(), "0000000000000004");
+    platform.rig.until([&] { return !old.running(); }, "the old process ends");
+    CHECK(old.status == 0);
+    CHECK(old.said("reloaded: discovery at"));
+    CHECK(old.said("given to the other process"));
+}
+
+// The call and SIGTERM are on their way together: whichever the old process reads first, the word holds at
+// both.
+TEST_CASE(
+    "detached in the very instant of a hand-over under requests: out at the successor, round after round") {
+    Platform platform;
+    platform.rig.node().greets = [](Wire& wire) { wire.reply = ok("x"); };
+    auto* serving = &platform.startReady();
+    const char* const calls[] = {"detach", "attach", "detach"};
+    int id = 0;
+    for (const std::string word : calls) {
+        auto& next = platform.startReady();
+        std::vector<WirePtr> asking;
+        for (int i = 0; i < 12; ++i) {  // in flight while it passes: each has a final answer below
+            asking.push_back(platform.client());
+            asking.back()->say(Ask{.id = fmt::format("{:016x}", ++id)}.text());
+        }
+        tcp::socket socket(platform.rig.io);
+        socket.connect(net::tcpEndpoint(serving->mgmt));
+        const auto call = std::make_shared<Wire>(std::move(socket));
+        call->start();
+        call->say(fmt::format("POST /_chunk-servers/{} HTTP/1.1\r\nContent-Length: 3\r\n\r\ns-0", word));
+        serving->signal(SIGTERM);
+        platform.rig.until([&] { return call->ended; }, "the call is answered");
+        CHECK(call->got.starts_with("HTTP/1.1 200 "));
+        platform.untilSaid(next, "taken over after");
+        const auto out = word == "detach" ? R"("out_of_rotation":1)" : R"("out_of_rotation":0)";
+        platform.rig.until(
+            [&] { return platform.call(next, "GET /_vars HTTP/1.1\r\n\r\n").find(out) != std::string::npos; },
+            out);
+        for (const auto& client : asking)
+            platform.rig.until([&] { return client->has("HTTP/1.1 200 ") || client->has("HTTP/1.1 503 "); },
+                               "each is answered");
+        asking.clear();
+        platform.rig.until([&] { return !serving->running(); }, "the old process ends");
+        CHECK(serving->status == 0);
+        serving = &next;
+    }
+}
+
+// The right to serve is free again then: who starts next has it at once, though the old one still drains.
+TEST_CASE("a successor that dies after it took over: the next process serves at once, as after a crash") {
+    Platform platform;
+    platform.rig.node().greets = [](Wire& wire) { wire.reply = ok("x"); };
+    auto& old = platform.startReady();
+    const auto held = platform.client();
+    platform.serve(held, "0000000000000001");
+    auto& next = platform.startReady();
+    old.signal(SIGTERM);
+    platform.untilSaid(next, "taken over after");
+    next.signal(SIGKILL);
+    platform.rig.until([&] { return !next.running(); });
+    const auto waiting = platform.client();  // nobody accepts now; it waits in the socket's queue
+    waiting->say(Ask{.id = "0000000000000002"}.text());
+    auto& third = platform.startReady();
+    platform.rig.until([&] { return waiting->has("HTTP/1.1 200 "); }, "served by the third");
+    CHECK(third.said("n0 listens on"));
+    platform.serve(held, "0000000000000003");  // what the old one took it still answers
+    platform.rig.until([&] { return !old.running(); }, "the old process ends");
+    CHECK(old.status == 0);
+}
--- a/tests/operation_test.cpp
+++ b/tests/operation_test.cpp
@@ -1,9 +1,11 @@
 // What operators call: the calls as a table, the figures against what clients and nodes saw, nodes out by
 // hand.
+#include <deque>
 #include <nlohmann/json.hpp>
+#include <sstream>
 
-#include "net_support.h"
 #include "operation/door.h"
+#include "process_support.h"
 
 using namespace wingproxy;
 using namespace wingproxy::test;
@@ -158,3 +160,40 @@
     rig.until([&] { return after->has("tres"); });
     CHECK(office.vars()["out_of_rotation"] == 0);
 }
+
+// A measurement, not a check: `wingproxy_front_tests --no-skip -tc="measure*"`. docs/bodies.md has its
+// figures.
+TEST_CASE("measure: processor time of a connection that asks nothing and is turned away" * doctest::skip()) {
+    Platform platform(192);
+    platform.rig.node().greets = [](Wire& wire) { wire.reply = ok("x"); };
+    auto& front = platform.startReady();
+    const auto seconds = [&] {  // user and system, of the process
+        std::ifstream in(fmt::format("/proc/{}/stat", front.pid));
+        const std::string all(std::istreambuf_iterator<char>(in), {});
+        std::istringstream fields(all.substr(all.rfind(')') + 2));
+        std::string skipped;
+        for (int i = 0; i < 11; ++i) fields >> skipped;
+        double user = 0, system = 0;
+        fields >> user >> system;
+        return (user + system) / double(sysconf(_SC_CLK_TCK));
+    };
+    const auto since = std::chrono::steady_clock::now();
+    const auto spent = [&] {
+        return std::chrono::duration<double>(std::chrono::steady_clock::now() - since).count();
+    };
+    const auto before = seconds();
+    constexpr int kConnections = 20'000, kOpen = 400;
+    std::deque<tcp::socket> crowd;
+    int served = 0;
+    for (int i = 0; i < kConnections; ++i) {
+        crowd.emplace_back(platform.rig.io);
+        crowd.back().connect(platform.listening.local_endpoint());
+        if (crowd.size() > kOpen) crowd.pop_front();
+        if (i % 200 != 199) continue;
+        platform.serve(platform.client(), fmt::format("{:016x}", i));  // a true request in between
+        ++served;
+    }
+    const auto used = seconds() - before;
+    MESSAGE(kConnections, " connections in ", spent(), " s, ", served,
+            " requests served among them: ", used / kConnections * 1e6, " us of processor time each");
+}
