Let a host that leaves tell three peers when its loans end, so that its next life is clear at once

It spends nothing of its chunks until all peers have said that they hold none (Policy::settle), and of 308 peers 8 to 13 are always restarting themselves. Ruled out before (docs/fleet.md): the volume's other hosts (they are idle and not known), most peers (one that is cut off may hold a loan), the time between two lives (nobody promises it).

Lives have numbers in order, so that late datagrams of an earlier one are dropped. On SIGTERM a front names a time after which none of its loans is out and tells three holders; it lends nothing that would outlast it. A start asks the holders first, all others only where that does not help. A life that not all holders know of lends nothing for 10 s, so that no later one goes by a farewell from before it. That closes a hole, too: a hello used to count as a welcome, though its sender might have borrowed since.

--- a/include/wingproxy/policy.h
+++ b/include/wingproxy/policy.h
@@ -11,6 +11,8 @@
 #include <variant>
 #include <vector>
 
+namespace wingproxy::fleet { class Arrival; }
+
 namespace wingproxy {
 
 using Micros = std::int64_t;
@@ -110,12 +112,14 @@
 struct StreamStarted { RequestId id = 0; int attempt = 0; std::string node; Micros tookUs = 0; bool worked = false,
                        passing = true; };
 struct RequestGone { RequestId id = 0; };
+struct Leaving { Micros untilUs = 0; };                     // this process ends in order, and serves until then
 struct Crowded { int places = 0; };                         // so many of what waits here must leave its place
 struct TimerFired { std::uint64_t token = 0; };
 struct PeerMessage { int from = 0; std::string bytes; };
 struct ProbeAnswered { std::string node; Outcome outcome = Outcome::Ok; Micros tookUs = 0;
                        std::vector<double> report; };
-using Event = std::variant<NodeList, Request, Filled, AttemptEnded, StreamStarted, RequestGone, Crowded, TimerFired,
+using Event = std::variant<NodeList, Request, Filled, AttemptEnded, StreamStarted, RequestGone, Leaving, Crowded,
+                           TimerFired,
                            PeerMessage, ProbeAnswered>;
 
 // Actions
@@ -140,6 +144,7 @@
     std::vector<Action> finish(Micros now);                 // once, after the batch's last event
     std::size_t kept() const;                               // entries in all its tables
     std::size_t avoided() const;                            // listed nodes that it sends nothing or only trials
+    const fleet::Arrival& arrival() const;                  // what it may lend, and what made it clear
     // What it knows, for a successor process of this host, which has all rights from then on. Here what is open
     // is finished with what was kept for it.
     std::string handOver(Micros now);
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -118,6 +118,7 @@
     forget(it);
 }
 
+void State::take(const Leaving& in) { tell(wingproxy::Leaving{in.untilUs}); }
 void State::take(const Crowded& in) { tell(wingproxy::Crowded{in.places}); }
 
 NodeInfo State::asTold(NodeInfo listed) const {
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -50,6 +50,9 @@
 struct ClientGone {
     RequestId id = 0;
 };
+struct Leaving {
+    Micros untilUs = 0;
+};  // the process ends in order, without a successor, and serves until then
 struct Crowded {
     int places = 0;
 };  // the front needs so many of the places that waiting requests hold
@@ -79,8 +82,8 @@
 };
 struct Wake {};        // some time of State::nextWake has come
 struct CloseBatch {};  // all that was ready has been put in
-using Input = std::variant<Arrived, Filled, Ended, Written, Answering, Streaming, ClientGone, Crowded, News,
-                           Said, Heard, Probed, Wake, CloseBatch>;
+using Input = std::variant<Arrived, Filled, Ended, Written, Answering, Streaming, ClientGone, Leaving,
+                           Crowded, News, Said, Heard, Probed, Wake, CloseBatch>;
 
 // ---- effects
 struct StartAttempt {
@@ -165,6 +168,7 @@
     }
     // Listed nodes that it does not use: by hand, draining, or by choice.
     std::size_t avoided() const { return policy_.avoided(); }
+    const fleet::Arrival& arrival() const { return policy_.arrival(); }
     bool everListed(const std::string& node) const { return listed_.contains(node) || seen_.contains(node); }
     const Words& words() const { return words_; }
     std::size_t outByHand() const;
@@ -203,6 +207,7 @@
     void take(const Answering& in);
     void take(const Streaming& in);
     void take(const ClientGone& in);
+    void take(const Leaving& in);
     void take(const Crowded& in);
     void take(News in);
     void take(const Said& in);
--- /dev/null
+++ b/src/fleet/arrival.h
@@ -0,0 +1,112 @@
+// What a host that has just started may spend and lend of its chunks, and how it learns that sooner than by
+// waiting for every lease to run out. Pure: no I/O, the time is passed in (microseconds, never falling).
+//
+// A host lends chunks of its limits for short leases and, started anew, knows nothing of the loans of its
+// earlier life. It is clear of them when all peers have said that they hold none, when a lease has passed
+// since its start, or when the time is over that its earlier life named in a farewell. A farewell is told
+// while a host leaves in order, to a few peers that keep it: its holders. docs/fleet.md has the proof.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace wingproxy::fleet {
+
+using Micros = std::int64_t;
+
+struct Message {
+    int to = 0;  // a host's number
+    std::string bytes;
+};
+
+class Arrival {
+public:
+    // Until a farewell is this old a new life may go by it; so long a host whose holders have not answered
+    // lends nothing, as a later life might go by a farewell from before it.
+    static constexpr Micros kFarewellKept = 10'000'000;
+    static constexpr Micros kHelloGap = 500'000;     // between two hellos, or farewells, to the same host
+    static constexpr Micros kHoldersFirst = 50'000;  // then all are asked: a crossing of the network and more
+    static constexpr int kFew = 8;                   // of so many hosts all are asked at once
+    static constexpr Micros kStaleFor = 10'000'000;  // a life before the newest is not believed for so long
+    static constexpr std::size_t kMostBytes = 22;    // of a datagram
+
+    struct Terms {
+        int host = 0, hosts = 1;
+        Micros lease = 0;   // of a chunk, at the longest
+        bool talks = true;  // hosts may tell each other anything
+    };
+    struct Counters {
+        std::uint64_t stale = 0, malformed = 0;  // datagrams that changed nothing
+        std::uint64_t lives = 0;                 // of peers that began anew
+        std::uint64_t farewells = 0;             // kept here for others
+    };
+    enum class Life { Known, Fresh, Stale };
+    enum class By { Nothing, Farewell, Everyone, Lease };  // what made it clear
+
+    Arrival() = default;
+    Arrival(const Terms& terms, Micros startedAt);
+
+    // Names this life: a later one has a higher number, for as long as the machine's clock is not set back.
+    std::uint32_t life() const { return life_; }
+    static bool speaks(const std::string& bytes);  // a datagram for heard()
+    struct Heard {
+        Life life = Life::Stale;  // Fresh: whatever that host lent in its earlier life is over
+        std::vector<Message> replies;
+    };
+    Heard heard(int from, const std::string& bytes, Micros now);
+    Life met(int from, std::uint32_t life, Micros now);  // in whatever it says
+    std::vector<Message> due(Micros now);  // hellos and farewells; to be asked a few times a second
+
+    bool clear(Micros now) const { return now >= clearAt_; }  // may spend all of its own chunks
+    bool lends(Micros now) const;                             // may lend them for a whole lease
+    By by() const { return by_; }
+    // It ends in order: nothing is lent beyond then, or beyond what is lent already, and the holders are
+    // told.
+    void leaving(Micros until, Micros now) {
+        leavingUntil_ = until > now + terms_.lease ? until : now + terms_.lease;
+    }
+    const Counters& counters() const { return counters_; }
+    std::size_t kept() const { return peers_.size() + farewells_.size(); }
+    std::vector<int> holders() const;  // three at the most, spread over the numbers
+
+    template <typename Archive>
+    void serialize(Archive& a) {
+        a(terms_.host, terms_.hosts, terms_.lease, terms_.talks, startedAt_, clearAt_, lastHello_, lastToAll_,
+          lastFarewell_, leavingUntil_, life_, askAll_, peers_, welcomedBy_, farewells_);
+    }
+
+private:
+    struct Peer {
+        std::uint32_t life = 0;
+        Micros at = 0;  // heard last
+        template <typename Archive>
+        void serialize(Archive& a) {
+            a(life, at);
+        }
+    };
+    struct Farewell {
+        std::uint32_t life = 0, sentMs = 0, overMs = 0;  // of the leaving host's clock
+        std::uint32_t next = 0;                          // the life that followed it, once it is met
+        template <typename Archive>
+        void serialize(Archive& a) {
+            a(life, sentMs, overMs, next);
+        }
+    };
+    void clearBy(By by, Micros at);
+    bool holdersKnow(Micros now) const;  // of this life, all of them; or no farewell from before it counts
+
+    Terms terms_;
+    Micros startedAt_ = 0, clearAt_ = 0, lastHello_ = 0, lastToAll_ = 0, lastFarewell_ = 0, leavingUntil_ = 0;
+    std::uint32_t life_ = 0;
+    bool askAll_ = false;  // a holder knows of no farewell
+    By by_ = By::Nothing;
+    std::map<int, Peer> peers_;
+    std::set<int> welcomedBy_;           // they hold nothing of earlier lives
+    std::map<int, Farewell> farewells_;  // by the host that left
+    Counters counters_;
+};
+
+}  // namespace wingproxy::fleet
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -11,6 +11,7 @@
 #include "cli/command.h"
 #include "config/config.h"
 #include "config/operator.h"
+#include "fleet/arrival.h"
 #include "handover/succession.h"
 #include "health/health.h"
 #include "http/front.h"
@@ -237,6 +238,7 @@
         logger_.info("stopping: {} requests open", engine_.open());
         if (succession_ && succession_->role() == handover::Succession::Role::Successor) return end();
         if (succession_ && succession_->successorWaits()) giveUpService();
+        else engine_.leaving(engine_.now() + (kill_ - kStopServing).count());
         front_.answerBy(engine_.now() + (kill_ - kAnswerBy).count());
         serveOn();
     }
@@ -332,6 +334,11 @@
             logger_.info("counters handover: taken={} given={} refused={} words={} unwritten={}", h.taken,
                          h.given, h.refused, h.words, h.unwritten);
         }
+        const auto& a = engine_.arrival();
+        constexpr const char* kBy[] = {"nothing", "farewell", "everyone", "lease"};
+        logger_.info("counters fleet: clear_by={} lends={} lives={} farewells={} stale={} malformed={}",
+                     a.clear(engine_.now()) ? kBy[int(a.by())] : "nothing", a.lends(engine_.now()),
+                     a.counters().lives, a.counters().farewells, a.counters().stale, a.counters().malformed);
         logger_.info("counters reloads: done={} bad={}", reloads_, badReloads_);
         logger_.info("counters peers: sent={} received={} unsent={} unknown={} oversize={}", p.sent,
                      p.received, p.unsent, p.unknown, p.oversize);
--- a/src/memory_archive.cpp
+++ b/src/memory_archive.cpp
@@ -63,9 +63,8 @@
 }
 template <typename A>
 void serialize(A& a, Memory& m) {
-    a(m.startedAt, m.settledAt, m.lastTell, m.lastHello, m.lastForget, m.life, m.nextSeq, m.nodes,
-      m.unusedNodes, m.nodeIndex, m.cells, m.volumes, m.shared, m.rolls, m.askBytes, m.taken, m.furtherSends,
-      m.peerLife, m.welcomedBy);
+    a(m.startedAt, m.settledAt, m.lastTell, m.lastForget, m.arrival, m.nextSeq, m.nodes, m.unusedNodes,
+      m.nodeIndex, m.cells, m.volumes, m.shared, m.rolls, m.askBytes, m.taken, m.furtherSends);
 }
 
 namespace {
--- a/src/net/engine.h
+++ b/src/net/engine.h
@@ -58,6 +58,7 @@
     RequestId submit(Request request, std::shared_ptr<Transfer> transfer);  // the id is given here
     void gone(RequestId id);
     void crowded(int places) { put(core::Crowded{places}); }
+    void leaving(Micros untilUs) { put(core::Leaving{untilUs}); }
     void written(RequestId id, int attempt) { put(core::Written{id, attempt}); }
     void answering(RequestId id, int attempt) { put(core::Answering{id, attempt}); }
     // freely: the node has done its work, and no deadline runs any more.
@@ -93,6 +94,7 @@
     std::size_t nodes() const { return addresses_.size(); }  // on the list
     std::size_t avoided() const { return state_.avoided(); }
     std::size_t outByHand() const { return state_.outByHand(); }
+    const fleet::Arrival& arrival() const { return state_.arrival(); }
     std::int64_t listVersion() const { return listVersion_; }
     std::size_t kept() const { return state_.kept() + live_.size() + addresses_.size(); }
     const core::Counters& counters() const { return state_.counters(); }
--- a/src/peer_message.h
+++ b/src/peer_message.h
@@ -21,7 +21,7 @@
 inline double drawOf(const std::string& text) { return double(hashOf(text) % 1024) / 1024; }
 inline double drawOf(std::uint64_t number) { return drawOf(std::to_string(number)); }
 
-enum Tag : std::uint8_t { kUse = 1, kAsk, kGrant, kReturn, kHello, kWelcome, kJoin, kOthers, kMember };
+enum Tag : std::uint8_t { kUse = 1, kAsk, kGrant, kReturn, kOldHello, kOldWelcome, kJoin, kOthers, kMember };
 struct Record {
     std::uint8_t tag;
     std::uint64_t a, b, c;
@@ -77,7 +77,7 @@
         Record r{tag, get(kWidths[tag][0]), 0, 0};
         r.b = get(kWidths[tag][1]);
         r.c = get(kWidths[tag][2]);
-        records.push_back(r);
+        if (tag != kOldHello && tag != kOldWelcome) records.push_back(r);   // of hosts before fleet::Arrival
     }
     return ok;
 }
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -32,7 +32,6 @@
 constexpr Micros kTellEvery = 200'000, kTellMemory = 2'000'000, kSumTerm = 3'000'000, kPeerForget = 8'000'000;
 constexpr double kBytesPerRequest = 64, kBytesKept = 1024;  // pay for asks: for each taken, and a reserve
 constexpr Micros kAskGap = 50'000;        // between two asks for one volume: two crossings of the network
-constexpr Micros kHelloGap = 500'000;     // a restarted host asks those again that have not answered
 constexpr std::size_t kMessageBytes = 256;  // what the wire carries
 constexpr Micros kRateMemory = 1'000'000;   // arrival rates: the reserve's store holds a second too
 constexpr double kDemandMargin = 1.25;      // claims follow demand with room for chance
@@ -91,14 +90,13 @@
 struct Policy::Impl : Memory {
     Impl(const Settings& settings, Micros t) {
         set = settings, now = startedAt = t, askBytes = kBytesKept;
-        life = static_cast<std::uint32_t>(set.seed ^ (set.seed >> 32));
+        arrival = fleet::Arrival({set.host, set.hosts, kLease, set.mayTellPeers}, t);
         cells.resize(static_cast<std::size_t>(std::max(set.cells, 0)));
         shortestAim = set.shortestAim();
         if (shortestAim == 0) shortestAim = kNoAim;
         act(SetTimer{kTick, kTickToken});
         nextList = now + spread(listTurn());
-        watch(), settle();
-        hello();
+        watch(), settle(), greet();
     }
 
 
@@ -154,17 +152,19 @@
         return bytes;
     }
 
-    // An earlier life may have lent chunks. None is spent or lent until every peer has said that it holds
-    // none, or until any loan must have run out.
+    // An earlier life may have lent chunks. None is spent or lent until fleet::Arrival is sure that none is out.
     bool settled() const { return settledAt <= now; }
 
     void settle() {
-        const bool waits = int(welcomedBy.size()) < set.hosts - 1 && now - startedAt < kLease;
-        if (settled() || waits) return;
+        if (settled() || !arrival.clear(now)) return;
         for (auto& [name, v] : volumes) refill(v);  // up to now without the home
         settledAt = now;
     }
 
+    void greet() {
+        for (const auto& m : arrival.due(now)) act(TellPeer{m.to, m.bytes});
+    }
+
     int chunksHeld(const Volume& v) const {
         int n = settled() || v.hosts == 1 ? std::max(0, v.home - v.lentChunks()) : 0;
         for (const auto& [peer, b] : v.borrowed)
@@ -192,17 +192,10 @@
         std::string& m = outbox[to];
         if (m.size() + peer::sizeOf(peer::Tag(r.tag)) > kMessageBytes)
             act(TellPeer{to, std::exchange(m, {})});
-        if (m.empty()) m = peer::header(life);
+        if (m.empty()) m = peer::header(arrival.life());
         peer::add(m, r);
     }
 
-    void hello() {
-        if (settled()) return;
-        lastHello = now;
-        for (int i = 0; i < set.hosts; ++i)
-            if (i != set.host && !welcomedBy.count(i)) tell(i, {peer::kHello, life, 0, 0});
-    }
-
     // Asks for chunks where demand passes the claim, returns them where it fell below.
     void lease(Volume& v) {
         if (!v.limited || v.hosts <= 1 || !set.mayTellPeers || v.chunkRate <= 0) return;
@@ -247,7 +240,7 @@
                          [](const auto& l, const auto& r) { return l.first < r.first; });
         for (const auto& [peer, ask] : asks) {
             const auto it = byHash.find(ask.a);
-            if (it == byHash.end() || it->second->chunkRate <= 0 || !settled()) continue;
+            if (it == byHash.end() || it->second->chunkRate <= 0 || !arrival.lends(now)) continue;
             Volume& v = *it->second;
             v.neededAt = now;
             refill(v);
@@ -274,18 +267,18 @@
         if (m.from == set.host || m.from < 0 || m.from >= set.hosts) return;
         std::uint64_t theirLife = 0;
         std::vector<peer::Record> records;      // all or none: malformed, cut or foreign has no effect
-        if (!peer::read(m.bytes, theirLife, records)) return;
-        if (const auto [known, fresh] = peerLife.try_emplace(m.from, theirLife); known->second != theirLife) {
-            // A new life knows nothing of its loans: give them back, and let no late grant of the old count.
-            known->second = theirLife;
-            for (auto& [name, v] : volumes) { refill(v); v.borrowed.erase(m.from); }
-        }
+        fleet::Arrival::Heard heard;
+        if (fleet::Arrival::speaks(m.bytes)) heard = arrival.heard(m.from, m.bytes, now);
+        else if (peer::read(m.bytes, theirLife, records))
+            heard.life = arrival.met(m.from, std::uint32_t(theirLife), now);
+        if (heard.life == fleet::Arrival::Life::Stale) return;
+        // A new life knows nothing of its loans: give them back.
+        for (auto& [name, v] : volumes)
+            if (heard.life == fleet::Arrival::Life::Fresh) refill(v), v.borrowed.erase(m.from);
+        for (const auto& reply : heard.replies) act(TellPeer{reply.to, reply.bytes});
+        settle();
         for (const auto& r : records) {
-            if (r.tag == peer::kHello || r.tag == peer::kWelcome) {
-                if (r.tag == peer::kHello || r.a == life) welcomedBy.insert(m.from);   // has none of ours
-                if (r.tag == peer::kHello) tell(m.from, {peer::kWelcome, theirLife, 0, 0});
-                settle();
-            } else if (r.tag == peer::kAsk) {
+            if (r.tag == peer::kAsk) {
                 asks.emplace_back(m.from, r);
             } else if (r.tag != peer::kGrant && r.tag != peer::kReturn) {
                 hear(m.from, r);
@@ -938,6 +931,7 @@
         if (it == nodeIndex.end() || e.outcome != Outcome::Ok) return;
         nodes[it->second].newestSent = std::max(nodes[it->second].newestSent, now - e.tookUs);
     }
+    void on(const Leaving& e) { arrival.leaving(e.untilUs, now); }
     void on(const RequestGone& e) { if (Pending* r = find(e.id)) finishRequest(*r); }
     void on(const StreamStarted& e) {
         Pending* const r = find(e.id);
@@ -1005,8 +999,7 @@
     void tick() {
         act(SetTimer{kTick, kTickToken});
         if (now - lastForget >= kForgetEvery) forget();
-        settle(), watch();
-        if (now - lastHello >= kHelloGap) hello();
+        settle(), watch(), greet();
         if (set.mayCancel) dropLost();
         for (auto& [name, v] : volumes) lease(v);
         if (now - lastTell >= kTellEvery / 2) {
@@ -1029,6 +1022,7 @@
 }
 
 std::size_t Policy::kept() const { return impl_->Memory::kept(); }
+const fleet::Arrival& Policy::arrival() const { return impl_->Memory::arrival; }
 std::string Policy::handOver(Micros now) { return impl_->handOver(now); }
 bool Policy::restore(const std::string& bytes) { return loadMemory(bytes, *impl_); }
 
--- a/src/state.h
+++ b/src/state.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <unordered_map>
 
+#include "fleet/arrival.h"
 #include "peer_message.h"
 #include "wingproxy/policy.h"
 
@@ -142,9 +143,9 @@
 // All of it: what one host knows between two batches.
 struct Memory {
     Settings set;
-    Micros now = 0, startedAt = 0, settledAt = -kNever, lastTell = kNever, lastHello = kNever;
+    Micros now = 0, startedAt = 0, settledAt = -kNever, lastTell = kNever;
     Micros lastForget = kNever, nextList = 0, listWait = 0, shortestAim = 0;
-    std::uint32_t life = 0;             // tells this run of the host from the one before
+    fleet::Arrival arrival;             // this run of the host, and what is out from the one before
     std::uint64_t nextSeq = 0;
     std::vector<Action> actions;
     std::vector<Node> nodes;
@@ -160,8 +161,6 @@
     double askBytes = 0;                        // that asks may still cost
     std::map<std::string, KeyTurn> turns;
     std::deque<Micros> taken, furtherSends;
-    std::map<int, std::uint64_t> peerLife;
-    std::set<int> welcomedBy;
     std::vector<std::pair<int, peer::Record>> asks;   // of this batch, served in order of host number
     std::set<int> dirty;                        // cells to look at when the batch ends
     bool handedOver = false;                    // a successor has the rights; what is open here is finished
@@ -207,7 +206,8 @@
     void act(const Action& action) { actions.push_back(action); }
 
     std::size_t kept() const {                  // entries in all tables
-        return nodeIndex.size() + volumes.size() + shared.size() + rolls.size() + requests.size() + turns.size();
+        return nodeIndex.size() + volumes.size() + shared.size() + rolls.size() + requests.size() + turns.size() +
+               arrival.kept();
     }
 };
 
