--- a/tests/lease_test.cpp
+++ b/tests/lease_test.cpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <random>
 
+#include "fleet/arrival.h"
 #include "support.h"
 
 using namespace wingproxy;
@@ -181,6 +182,41 @@
     }
 }
 
+// Rule 5 over every way in which a host ends: told before and served on for a while, told and killed at once, or not
+// told; dead for nothing to 4 s; messages lost, and late by up to 3 s, farewells among them.
+TEST(Leases, TheSumKeepsTheLimitThroughFarewellsAndDeaths) {
+    std::map<fleet::Arrival::By, int> by;
+    double used = 0, could = 0;
+    for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+        Fleet f(3, seed);
+        f.maxDelay = seed % 3 == 0 ? 3 * kSecond : 200 * kMs;
+        f.lossPercent = int(seed % 4) * 15;
+        std::mt19937_64 random(seed * 31);
+        f.run(2 * kSecond, {{0, 4}, {1, 4}, {2, 4}});
+        for (int step = 0; step < 30; ++step) {
+            const int who = int(random() % 3);
+            const std::map<int, double> rate{{int(random() % 3), 60}, {int(random() % 3), 20}, {2, 3}};
+            if (random() % 3 > 0) {
+                f.deliver(who, {Leaving{f.now + Micros(random() % 4'000) * kMs}});
+                f.run(Micros(random() % 4'000) * kMs, rate);
+            }
+            f.hosts.erase(who);
+            f.run(Micros(random() % 3 == 0 ? random() % 4'000 : 1) * kMs, rate);
+            f.start(who);
+            f.run(Micros(random() % 3'000) * kMs, rate);
+            const auto& arrival = f.hosts[who]->policy.arrival();
+            if (arrival.clear(f.now)) ++by[arrival.by()];
+            ASSERT_GE(f.lowest, 0) << "seed " << seed << " step " << step;
+        }
+        used += f.sent[0] + f.sent[1] + f.sent[2];
+        could += f.limit * double(f.now - kStart) / double(kSecond);
+    }
+    EXPECT_GT(by[fleet::Arrival::By::Farewell], 20);
+    EXPECT_GT(by[fleet::Arrival::By::Everyone], 5);
+    EXPECT_GT(by[fleet::Arrival::By::Lease], 5);
+    EXPECT_GT(used, could * 0.4);
+}
+
 TEST(Leases, ARestartedHostWaitsForWordOfItsLoans) {
     Fleet f(3);
     f.run(2 * kSecond, {{0, 2}, {1, 2}, {2, 2}});
