--- a/tests/lease_test.cpp
+++ b/tests/lease_test.cpp
@@ -33,7 +33,7 @@
         for (const auto& tell : only<TellPeer>(actions))
             for (auto& [other, host] : hosts) {
                 if (other == i || (tell.to >= 0 && tell.to != other)) continue;
-                if (cut || (lossPercent > 0 && int(random() % 100) < lossPercent)) continue;
+                if (cut || cuts.count({i, other}) || (lossPercent > 0 && int(random() % 100) < lossPercent)) continue;
                 const Micros delay = minDelay + Micros(random() % std::uint64_t(maxDelay - minDelay + 1));
                 wire.push_back({now + delay, i, other, tell.bytes});
             }
@@ -80,6 +80,7 @@
     double limit = 20, burst = 48, store = 48, lowest = 48;
     int lossPercent = 0;
     bool cut = false;
+    std::set<std::pair<int, int>> cuts;     // from, to
     std::uint64_t lives = 0;
     RequestId lastId = 0;
     std::map<int, std::unique_ptr<Host>> hosts;
@@ -183,38 +184,34 @@
 }
 
 // Rule 5 over every way in which a host ends: told before and served on for a while, told and killed at once, or not
-// told; dead for nothing to 4 s; messages lost, and late by up to 3 s, farewells among them.
+// told; messages lost, and late by up to 2 s, farewells among them. Host 0 has borrowed all there is and keeps the
+// store near its end, so that a chunk in two hands shows: with a host that is clear at once the store is overdrawn.
 TEST(Leases, TheSumKeepsTheLimitThroughFarewellsAndDeaths) {
     std::map<fleet::Arrival::By, int> by;
-    double used = 0, could = 0;
-    for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+    for (std::uint64_t seed = 1; seed <= 120; ++seed) {
         Fleet f(3, seed);
-        f.maxDelay = seed % 3 == 0 ? 3 * kSecond : 200 * kMs;
-        f.lossPercent = int(seed % 4) * 15;
+        f.store = f.lowest = 0;     // as the hosts' buckets: no more is due to them than what fills from here on
         std::mt19937_64 random(seed * 31);
         f.run(2 * kSecond, {{0, 4}, {1, 4}, {2, 4}});
-        for (int step = 0; step < 30; ++step) {
-            const int who = int(random() % 3);
-            const std::map<int, double> rate{{int(random() % 3), 60}, {int(random() % 3), 20}, {2, 3}};
-            if (random() % 3 > 0) {
-                f.deliver(who, {Leaving{f.now + Micros(random() % 4'000) * kMs}});
-                f.run(Micros(random() % 4'000) * kMs, rate);
-            }
-            f.hosts.erase(who);
-            f.run(Micros(random() % 3 == 0 ? random() % 4'000 : 1) * kMs, rate);
-            f.start(who);
-            f.run(Micros(random() % 3'000) * kMs, rate);
-            const auto& arrival = f.hosts[who]->policy.arrival();
-            if (arrival.clear(f.now)) ++by[arrival.by()];
-            ASSERT_GE(f.lowest, 0) << "seed " << seed << " step " << step;
+        f.run(5 * kSecond, {{0, 80}, {1, 1}, {2, 1}});
+        f.maxDelay = random() % 4 == 0 ? 2 * kSecond : 50 * kMs;
+        f.lossPercent = int(random() % 3) * 20;
+        const int who = 1 + int(random() % 2);
+        if (seed % 3 > 0) {
+            f.deliver(who, {Leaving{f.now + Micros(random() % 4'000) * kMs}});
+            f.run(Micros(random() % 3'000) * kMs, {{0, 80}});
         }
-        used += f.sent[0] + f.sent[1] + f.sent[2];
-        could += f.limit * double(f.now - kStart) / double(kSecond);
+        if (seed % 5 > 0) f.cuts = {{who, 0}, {0, who}};    // 0 never hears that its lender began anew
+        f.hosts.erase(who);
+        f.run(Micros(random() % 3 == 0 ? random() % 2'000 : 1) * kMs, {{0, 80}});
+        f.start(who);
+        f.run(3 * kSecond, {{0, 80}, {who, 80}});
+        ++by[f.hosts[who]->policy.arrival().by()];
+        EXPECT_GE(f.lowest, 0) << "seed " << seed;
     }
-    EXPECT_GT(by[fleet::Arrival::By::Farewell], 20);
+    EXPECT_GT(by[fleet::Arrival::By::Farewell], 10);
     EXPECT_GT(by[fleet::Arrival::By::Everyone], 5);
     EXPECT_GT(by[fleet::Arrival::By::Lease], 5);
-    EXPECT_GT(used, could * 0.4);
 }
 
 TEST(Leases, ARestartedHostWaitsForWordOfItsLoans) {
