Number the layout of the module's memory, so that one of another version is refused

Need: the hand-over writes the module's memory field by field, and farewells changed the fields; a process of the version before would hand over bytes that the new one misreads. Memory's fingerprint knew settings only (memory_archive.cpp).

Change: the layout's number stands first in it. A part of another layout is refused as one of other settings is: list, drains, words and open ids pass on, and the module starts as after a crash. The test fails without the number.

--- a/src/memory_archive.cpp
+++ b/src/memory_archive.cpp
@@ -69,9 +69,15 @@
 
 namespace {
 
-// Both processes must mean the same by an index of a plan, a class, a cell or a host.
+// Of what serialize() writes: to be raised with every change there, as a process of the version before hands
+// over too.
+constexpr double kLayout = 2;
+
+// Both processes must mean the same by an index of a plan, a class, a cell or a host, and write the same
+// fields.
 std::vector<double> fingerprint(const Settings& s) {
-    std::vector<double> sum{double(s.host), double(s.hosts), double(s.cells), double(s.classes.size())};
+    std::vector<double> sum{kLayout, double(s.host), double(s.hosts), double(s.cells),
+                            double(s.classes.size())};
     for (const auto& p : s.plans) sum.insert(sum.end(), {p.rate, p.reserve, p.limit, p.limitBurst});
     return sum;
 }
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -1,5 +1,7 @@
 // From one process of a front to the next: the bytes, what the rules allow both together, and whole
 // processes.
+#include <cstring>
+
 #include "handover/succession.h"
 #include "process_support.h"
 #include "support.h"
@@ -46,6 +48,12 @@
     CHECK(!other.restore(read.engine.core.module));
     for (std::size_t n = 0; n < read.engine.core.module.size(); n += 7)
         CHECK(!other.restore(read.engine.core.module.substr(0, n)));
+    // Nor is one that a version with other fields wrote: its number stands behind the archive's own byte and
+    // a length. (Host 1, so that it is that number and not the host's that is looked at.)
+    auto before = Policy(test::settings(1, 3), now).handOver(now);
+    const double older = 1;
+    std::memcpy(before.data() + 1 + 8, &older, sizeof older);
+    CHECK(!Policy(test::settings(1, 3), now).restore(before));
 }
 
 TEST_CASE("operators' words: of each node the newest, in whatever order they are merged") {
