--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -152,7 +152,7 @@
         return bytes;
     }
 
-    // An earlier life may have lent chunks. None is spent or lent until fleet::Arrival is sure that none is out.
+    // An earlier life may have lent chunks: none is spent or lent until fleet::Arrival is sure that they are back.
     bool settled() const { return settledAt <= now; }
 
     void settle() {
