--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -152,7 +152,7 @@
         return bytes;
     }
 
-    // An earlier life may have lent chunks: none is spent or lent until fleet::Arrival is sure that they are back.
+    // An earlier life may have lent chunks: none is spent or lent until fleet::Arrival is sure they are back.
     bool settled() const { return settledAt <= now; }
 
     void settle() {
