Let a host that is not clear say hello back though its holders know of it

Cause: with the short welcomes the condition became !holdersKnow alone (arrival.cpp, heard), so that a host that waits for everyone's answer was asked for it up to 0.5 s later.

Change: not clear, or not known to all holders, as it was measured at first.

--- a/src/fleet/arrival.cpp
+++ b/src/fleet/arrival.cpp
@@ -128,7 +128,7 @@
             welcome.fields[2] = f->second.sentMs, welcome.fields[3] = f->second.overMs;
         heard.replies.push_back({from, write(welcome)});
         // It has just come up, and may have missed the hello to it. Once for each of its lives.
-        if (first && !welcomedBy_.contains(from) && !holdersKnow(now))
+        if (first && !welcomedBy_.contains(from) && (!clear(now) || !holdersKnow(now)))
             heard.replies.push_back({from, write({life_, kHello, {}})});
     } else if (d->tag == kFarewell) {
         auto& f = farewells_[from];
