Bound a repeat by its class's window up to its last byte, and withdraw unsent attempts with their client

Cause, by reading: the module checked the repeat window when it decided (policy.cpp, maySend and again), but the connection may come up as late as the connect timeout after that, and a write may stall, so the last byte of a repeat of a keyed request could reach a node past the window. And ClientGone (reducer.cpp) stopped attempts only for bodies that pass byte by byte: one whose connection was still coming up went on for a client that had left.

Change: Send carries until when its last byte may be written; the reducer keeps it as one more alarm and breaks the attempt off as one that never ran (counter too_late). An attempt that is not whole at its node ends with its client (withdrawn). One that is whole goes on, as it still tells something of the node.

Where the window starts: at the first send that may have run, which is before its first byte, so the bound errs to the safe side.

--- a/include/wingproxy/policy.h
+++ b/include/wingproxy/policy.h
@@ -123,7 +123,8 @@
                            PeerMessage, ProbeAnswered>;
 
 // Actions
-struct Send { RequestId id; std::string node; Micros timeoutUs; };      // timeout 0: the request's own
+// timeout 0: the request's own. Past writtenByUs (a time; 0: none) its last byte may not be written any more.
+struct Send { RequestId id; std::string node; Micros timeoutUs; Micros writtenByUs = 0; };
 struct Refuse { RequestId id; Micros retryAfterUs; };
 struct Fail { RequestId id; };
 struct Cancel { RequestId id; int attempt; };
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -73,7 +73,15 @@
     endAttempt(it, attempt, std::move(in));
 }
 
-void State::take(const Written&) { ++counters_.written; }
+void State::take(const Written& in) {
+    ++counters_.written;
+    const auto it = requests_.find(in.id);
+    if (it == requests_.end()) return;
+    const auto attempt = it->second.out.find(in.attempt);
+    if (attempt == it->second.out.end()) return;
+    attempt->second.written = true;
+    quiet({attempt->second.lastByteBy, Due::LastByte, in.id, in.attempt});
+}
 
 void State::take(const Answering& in) {
     const auto it = requests_.find(in.id);
@@ -105,17 +113,16 @@
     ++counters_.gone;
     finish(it->second);
     tell(RequestGone{in.id});
-    // What comes from a client or goes to it byte by byte ends with it; anything else may still tell
-    // something.
+    // What comes from a client or goes to it byte by byte ends with it, and so does what is not whole at its
+    // node: nobody waits for that work. Anything else may still tell something.
     const bool bytes = it->second.freely || it->second.filling;
-    while (bytes && !it->second.out.empty()) {
-        const int attempt = it->second.out.begin()->first;
-        effects_.push_back(StopAttempt{in.id, attempt});
-        const bool last = it->second.out.size() == 1;
-        endAttempt(it, attempt, {in.id, attempt, Outcome::Cancelled, 0, 0, {}});
-        if (last) return;  // and the request with it
+    std::vector<int> ends;
+    for (const auto& [number, attempt] : it->second.out) {
+        if (bytes || !attempt.written) ends.push_back(number);
+        counters_.withdrawn += !attempt.written;
     }
-    forget(it);
+    if (ends.empty()) return forget(it);
+    for (const int attempt : ends) stop(it, attempt, Outcome::Cancelled);  // the last forgets the request
 }
 
 void State::take(const Leaving& in) { tell(wingproxy::Leaving{in.untilUs}); }
@@ -187,9 +194,11 @@
         const auto it = requests_.find(alarm.what);
         if (it == requests_.end()) continue;
         if (alarm.due == Due::AttemptTimeout) {
+            if (it->second.out.contains(alarm.attempt)) stop(it, alarm.attempt, Outcome::Timeout);
+        } else if (alarm.due == Due::LastByte) {
             if (!it->second.out.contains(alarm.attempt)) continue;
-            effects_.push_back(StopAttempt{alarm.what, alarm.attempt});
-            endAttempt(it, alarm.attempt, {alarm.what, alarm.attempt, Outcome::Timeout, 0, 0, {}});
+            ++counters_.tooLate;
+            stop(it, alarm.attempt, Outcome::ConnectFailed);  // broken off before its last byte: it never ran
         } else if (!it->second.done && it->second.out.empty()) {
             // The module answers well before; this holds the rule should it ever not.
             ++counters_.overdue;
@@ -220,6 +229,11 @@
     }
 }
 
+void State::stop(Requests::iterator it, int attempt, Outcome how) {
+    effects_.push_back(StopAttempt{it->first, attempt});
+    endAttempt(it, attempt, {it->first, attempt, how, 0, 0, {}});
+}
+
 // An attempt's end: the first success is the answer, a broken stream is the end too; all else is the
 // module's.
 void State::endAttempt(Requests::iterator it, int attempt, Ended how) {
@@ -229,6 +243,7 @@
     const bool neverRan = how.outcome == Outcome::ConnectFailed || how.outcome == Outcome::Full;
     how.spent = how.spent || (live.longBody && !neverRan);
     quiet({was.giveUpAt, Due::AttemptTimeout, how.id, attempt});
+    quiet({was.lastByteBy, Due::LastByte, how.id, attempt});
     ++counters_.outcomes[static_cast<std::size_t>(how.outcome)];
     if (!live.done && how.outcome == Outcome::Ok) {
         ++count(live, &Answers::delivered);
@@ -286,9 +301,12 @@
     if (const auto drain = drains_.find(a.node); drain != drains_.end())
         firstByte =
             std::min(firstByte, drain->second + Micros(kDrainPart * double(settings_.drainGraceUs)) - now_);
-    effects_.push_back(StartAttempt{a.id, attempt, a.node, now_ + firstByte, giveUpAt});
+    const Micros lastByteBy = a.writtenByUs > 0 ? a.writtenByUs : StartAttempt::kNever;
+    firstByte = std::min(firstByte, lastByteBy - now_);
+    effects_.push_back(StartAttempt{a.id, attempt, a.node, now_ + firstByte, giveUpAt, lastByteBy});
     alarms_.insert({giveUpAt, Due::AttemptTimeout, a.id, attempt});
-    live.out.emplace(attempt, Attempt{a.node, now_, giveUpAt});
+    if (a.writtenByUs > 0) alarms_.insert({lastByteBy, Due::LastByte, a.id, attempt});
+    live.out.emplace(attempt, Attempt{a.node, now_, giveUpAt, lastByteBy});
 }
 
 std::uint64_t& State::count(const Live& live, std::uint64_t Answers::*kind) {
@@ -313,8 +331,7 @@
     const auto it = requests_.find(a.id);
     if (it == requests_.end() || !it->second.out.contains(a.attempt)) return;
     if (it->second.streaming) return;  // it belongs to the client now
-    effects_.push_back(StopAttempt{a.id, a.attempt});
-    endAttempt(it, a.attempt, {a.id, a.attempt, Outcome::Cancelled, 0, 0, {}});
+    stop(it, a.attempt, Outcome::Cancelled);
 }
 
 void State::act(const ProbeNode& a) { effects_.push_back(ProbeStart{a.node}); }
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -90,8 +90,10 @@
     RequestId id = 0;
     int attempt = 0;
     std::string node;
-    Micros firstByteBy = 0;  // past this time not a byte may be written
-    Micros giveUpAt = 0;     // the time-out, which the reducer keeps
+    Micros firstByteBy = 0;      // past this time not a byte may be written
+    Micros giveUpAt = 0;         // the time-out, which the reducer keeps
+    Micros lastByteBy = kNever;  // past this time its last byte may not be written; the reducer keeps it too
+    static constexpr Micros kNever = INT64_MAX;
 };
 struct StopAttempt {
     RequestId id = 0;
@@ -135,6 +137,8 @@
 };
 struct Counters {
     std::uint64_t taken = 0, gone = 0, overdue = 0, batches = 0;
+    std::uint64_t withdrawn = 0;  // attempts stopped as the client left before they were whole at their node
+    std::uint64_t tooLate = 0;    // repeats that were not whole at their node within their class's window
     std::uint64_t attempts = 0, written = 0, late = 0;  // written: whole, to a node
     std::vector<Answers> byClass;                       // by class; the last for those of none
     Answers all() const {
@@ -181,7 +185,8 @@
     friend bool restore(State& state, const Handed& handed);
     struct Attempt {
         std::string node;
-        Micros startedAt = 0, giveUpAt = 0;
+        Micros startedAt = 0, giveUpAt = 0, lastByteBy = StartAttempt::kNever;
+        bool written = false;  // whole, to its node
     };
     struct Live {
         Micros deadlineUs = 0;
@@ -190,7 +195,7 @@
         bool filling = false, longBody = false;  // its body still comes; it came piece by piece
         std::map<int, Attempt> out;
     };
-    enum class Due { Timer, AttemptTimeout, Overdue };
+    enum class Due { Timer, AttemptTimeout, Overdue, LastByte };
     struct Alarm {
         Micros at = 0;
         Due due = Due::Timer;
@@ -226,6 +231,7 @@
     void act(const Note& a);
     void tell(const Event& event);
     void endAttempt(Requests::iterator it, int attempt, Ended how);
+    void stop(Requests::iterator it, int attempt, Outcome how);  // the last of an answered request forgets it
     void answer(RequestId id, std::uint64_t Answers::*kind, Effect effect);  // final, unless there was one
     std::uint64_t& count(const Live& live, std::uint64_t Answers::*kind);
     NodeInfo asTold(NodeInfo listed) const;  // with the operators' word laid over the list's
--- a/src/net/engine.cpp
+++ b/src/net/engine.cpp
@@ -124,7 +124,8 @@
         return;
     }
     it->second.out[e.attempt] = nullptr;  // it may end before start() returns
-    auto attempt = it->second.transfer->start({e.id, e.attempt, address->second, e.firstByteBy, e.giveUpAt});
+    auto attempt = it->second.transfer->start(
+        {e.id, e.attempt, address->second, e.firstByteBy, e.giveUpAt, e.lastByteBy});
     const auto now = live_.find(e.id);
     if (now == live_.end()) return;
     if (const auto slot = now->second.out.find(e.attempt); slot != now->second.out.end())
--- a/src/net/engine.h
+++ b/src/net/engine.h
@@ -22,7 +22,7 @@
     RequestId id = 0;
     int attempt = 0;
     config::Endpoint node;
-    Micros firstByteBy = 0, giveUpAt = 0;
+    Micros firstByteBy = 0, giveUpAt = 0, lastByteBy = core::StartAttempt::kNever;
 };
 
 // One attempt on the wire. It calls Engine::ended once, unless it is abandoned first.
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -708,8 +708,8 @@
         if (r.attempts >= set.maxAttempts) return false;
         const Effect effect = r.cls ? r.cls->effect : Effect::AtMostOnce;
         if (r.maybeRun && effect == Effect::AtMostOnce) return false;                           // 2
-        if (r.maybeRun && effect == Effect::Deduplicated &&
-            (!sameGroup(r, n) || now >= r.firstMaybeRun + r.cls->windowUs)) return false;
+        if (r.maybeRun && effect == Effect::Deduplicated && (!sameGroup(r, n) || now >= repeatBy(r)))
+            return false;
         if (!takes(n)) return false;                                                            // 3
         if (r.info.cell >= 0 && r.info.cell != n.info.cell) return false;
         if (!coldTakes(n, r.info.units)) return false;                                          // 4
@@ -731,6 +731,11 @@
         return true;
     }
 
+    // Until when a keyed request may be repeated: from the first attempt that may have run. 0: at any time.
+    static Micros repeatBy(const Pending& r) {
+        return r.cls && r.cls->effect == Effect::Deduplicated ? r.firstMaybeRun + r.cls->windowUs : 0;
+    }
+
     // The one guard before every refusal: it tells the client that nothing ran.
     bool mayRefuse(const Pending& r) const {
         if (!r.cls) return r.attempts == 0;
@@ -758,7 +763,7 @@
         r.sentTo[r.attempts++] = index;
         r.sentAt = now;
         ++r.out;
-        act(Send{r.info.id, n.info.id, 0});
+        act(Send{r.info.id, n.info.id, 0, r.maybeRun ? repeatBy(r) : 0});
     }
 
     // What is lost holds a place at its node until its deadline: it is given free, and the time that is left
@@ -867,7 +872,7 @@
         const Effect effect = r.cls ? r.cls->effect : Effect::AtMostOnce;
         const bool barred =
             r.streaming || r.attempts >= set.maxAttempts || (r.maybeRun && effect == Effect::AtMostOnce) ||
-            (r.maybeRun && effect == Effect::Deduplicated && now >= r.firstMaybeRun + r.cls->windowUs);
+            (r.maybeRun && effect == Effect::Deduplicated && now >= repeatBy(r));
         if (barred || double(r.info.deadlineUs - now) < double(2 * kTick)) { giveUp(r, 0); return; }
         if (r.info.cell < 0 && !r.maybeRun) r.cell = -1;    // a new object that never ran: any node again
         hold(r);
