Take a FIN as the end of an answer without a length, and a reset never, in one place

Cause: Exchange::parse and NodeAttempt::received held an answer without a length for broken unless the node said close, each by code of its own. So a whole answer was thrown away and the request tried again or failed.

Change: net/answer_reader.h reads a node's answer for attempts, probes and discovery: interim heads, the end by FIN, and whether the connection may go on. A reset never reaches it. An answer that neither ends nor goes on is broken after the same patience as before.

--- a/src/http/node_client.cpp
+++ b/src/http/node_client.cpp
@@ -9,7 +9,6 @@
 
 namespace beast = boost::beast;
 
-constexpr int kMostInterim = 8;
 // A long answer of which nothing comes for so long has broken: peers take seconds, not this.
 constexpr std::chrono::seconds kSilent{30};
 constexpr std::chrono::milliseconds kProbeTimeout{250};
@@ -88,6 +87,7 @@
         engine_.written(order_.id, order_.attempt);
         return read();
     }
+    if (engine_.now() > order_.lastByteBy) return broke();  // what is left would come past its window
     writing_ = true;
     connection_->socket.async_write_some(
         out.data(), [self = self()](const boost::system::error_code& error, std::size_t n) {
@@ -117,14 +117,9 @@
 void NodeAttempt::received() {
     boost::system::error_code error;
     auto& in = connection_->in;
-    while (!headDone_) {
-        if (!reader_->head(in, error)) break;
-        const auto status = reader_->parser().get().result_int();
-        if (status / 100 == 1 && status != 101 && interim_++ < kMostInterim) {
-            reader_.emplace(in, kMostBody);
-            continue;
-        }
+    if (!headDone_ && reader_->head(in, error)) {
         headDone_ = true;
+        const auto status = reader_->parser().get().result_int();
         const auto length = reader_->parser().content_length();
         const bool ok = status == 200 && written_;
         if (ok && length && *length > kMostWhole) return beginPassing();
@@ -137,11 +132,7 @@
         if (const auto caller = caller_.lock()) caller->moreAnswer();
         return;
     }
-    const auto& parser = reader_->parser();
-    // Only a node that says so ends its answer by closing: here any other is an answer that lost its length.
-    if (!error && headDone_ && !reader_->done() && parser.need_eof() && parser.get().keep_alive())
-        return broke();
-    if (!error && nodeEnded_ && !reader_->done() && reader_->gotSome()) reader_->ended(error);
+    if (!error && nodeEnded_) reader_->closed(error);
     if (!error && reader_->done()) return finish();
     if (error || nodeEnded_ || in.space() == 0) return broke();
     if (headDone_ && written_ && !answering_ && reader_->parser().get().result_int() == 200) {
@@ -190,7 +181,7 @@
     boost::system::error_code error;
     n = reader_->body(connection_->in, to, n, error);
     const bool empty = connection_->in.size() == 0;
-    if (!error && nodeEnded_ && empty && !reader_->done()) reader_->ended(error);
+    if (!error && nodeEnded_ && empty) reader_->closed(error);
     if (error || (nodeEnded_ && !reader_->done() && n == 0)) {
         broke();
     } else if (reader_->done()) {
@@ -231,7 +222,7 @@
         keep_(order_.attempt, std::move(answer), std::move(hold_));
     }
     const bool reusable =
-        written_ && !nodeEnded_ && reader_->parser().keep_alive() && connection_->in.size() == 0 && !reading_;
+        written_ && !nodeEnded_ && reader_->keepAlive() && connection_->in.size() == 0 && !reading_;
     if (reusable) pool_.release(std::exchange(connection_, nullptr));
     end(std::move(ended));
 }
--- a/src/http/node_client.h
+++ b/src/http/node_client.h
@@ -6,8 +6,8 @@
 #include <optional>
 
 #include "http/platform.h"
+#include "net/answer_reader.h"
 #include "net/exchange.h"
-#include "net/http_step.h"
 #include "net/node_attempt.h"
 
 namespace wingproxy::http {
@@ -68,11 +68,10 @@
     std::shared_ptr<net::Connection> connection_;
     std::string text_;  // of the request, not in the ring yet
     std::size_t put_ = 0;
-    std::optional<net::MessageReader<false>> reader_;
+    std::optional<net::AnswerReader> reader_;
     std::string body_;  // of a short answer
     net::ByteBudget::Hold hold_;
     boost::asio::steady_timer stall_;
-    int interim_ = 0;  // heads with 1xx so far
     bool bodyPut_ = false, written_ = false, spent_ = false, writing_ = false, reading_ = false;
     bool headDone_ = false, answering_ = false, passing_ = false, nodeEnded_ = false;
 };
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -1,31 +1,15 @@
 #include "net/exchange.h"
 
-#include "net/http_step.h"
-
 namespace wingproxy::net {
-namespace http = boost::beast::http;
-namespace {
-
-constexpr int kMostInterim = 8;
-
-}  // namespace
-
 Exchange::Exchange(std::shared_ptr<Connection> connection, std::string request, std::size_t bodyLimit,
                    Done done, std::chrono::microseconds stall)
     : connection_(std::move(connection)),
       request_(std::move(request)),
       done_(std::move(done)),
       bodyLimit_(bodyLimit),
+      reader_(connection_->in, bodyLimit),
       stallIn_(stall),
-      stall_(connection_->socket.get_executor()) {
-    next();
-}
-
-void Exchange::next() {
-    parser_.emplace();
-    parser_->body_limit(bodyLimit_);
-    parser_->header_limit(headLimit(connection_->in));
-}
+      stall_(connection_->socket.get_executor()) {}
 
 void Exchange::start() { write(); }
 
@@ -61,19 +45,12 @@
 void Exchange::parse(bool ended) {
     auto& in = connection_->in;
     boost::system::error_code error;
-    while (in.size() > 0 && !parser_->is_done() && step(*parser_, in, error)) {
-        if (!parser_->is_done()) continue;
-        const auto status = parser_->get().result_int();
-        if (status / 100 == 1 && status != 101 && interim_++ < kMostInterim) next();
-    }
-    // Only a node that says so ends its answer by closing: here any other is an answer that lost its length.
-    const bool toTheEnd = !error && parser_->is_header_done() && !parser_->is_done() && parser_->need_eof();
-    if (toTheEnd && parser_->get().keep_alive()) error = http::error::partial_message;
-    if (!error && ended && !parser_->is_done() && parser_->got_some()) parser_->put_eof(error);
-    if (!error && parser_->is_done()) {
-        reusable_ = !ended && parser_->get().keep_alive() && in.size() == 0;
+    if (reader_.head(in, error)) reader_.append(in, body_, bodyLimit_, error);
+    if (!error && ended) reader_.closed(error);
+    if (!error && reader_.done()) {
+        reusable_ = !ended && reader_.keepAlive() && in.size() == 0;
         finish(Result::Answered);
-    } else if (error || ended || in.space() == 0) {
+    } else if (error || ended || in.space() == 0 || body_.size() > bodyLimit_) {
         finish(Result::Broken);
     } else {
         awaitMore();
@@ -98,7 +75,12 @@
     stall_.cancel();
     boost::system::error_code ignored;
     if (!reusable_) connection_->socket.close(ignored);
-    done(result, result == Result::Answered ? parser_->release() : Response{});
+    Response answer;
+    if (result == Result::Answered) {
+        answer.base() = reader_.parser().get().base();
+        answer.body() = std::move(body_);
+    }
+    done(result, std::move(answer));
 }
 
 void Exchange::abandon() {
--- a/src/net/exchange.h
+++ b/src/net/exchange.h
@@ -1,13 +1,13 @@
 // One HTTP request and its answer on a connection that is already up.
 #pragma once
 
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 
+#include "net/answer_reader.h"
 #include "net/node_pool.h"
 
 namespace wingproxy::net {
@@ -31,7 +31,6 @@
     void write();
     void read();
     void parse(bool ended);
-    void next();  // another head: after an interim one, or the first
     void awaitMore();
     void finish(Result result);
 
@@ -40,10 +39,10 @@
     std::size_t put_ = 0;  // bytes of the request handed to the ring
     Done done_;
     std::size_t bodyLimit_;
-    std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser_;
+    AnswerReader reader_;
+    std::string body_;
     std::chrono::microseconds stallIn_;
     boost::asio::steady_timer stall_;
-    int interim_ = 0;  // heads with 1xx so far
     bool reusable_ = false;
 };
 
--- a/src/net/http_step.h
+++ b/src/net/http_step.h
@@ -8,6 +8,7 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
