Notice every way in which a client leaves, and close without resets

Causes, traced in the code and forced by tests/endings_test.cpp: - Session::read stops while its ring is full: behind hundreds of pipelined requests, or a long body that no node takes yet, neither FIN nor RST was read, and what waited went on for a client that had left. What comes behind a request without its answer is now read and dropped, and the answer ends the connection (counter pipelined); a connection that is not read from is asked for a hang-up every 200 ms (hung_up). - Door::closeIdle looked at unread bytes and then closed outright; bytes read in the same turn were not looked at either. At a stop idle connections now end their sending side, drop what still comes and close when it is quiet; the look is repeated in the next turn of the loop. A half-sent request is refused with 503, not cut off; so it is when it gives way in a full house. - Session::close over unread bytes was a reset, at Door::stop too. It now ends its side and drops what is there. - A silent connection that reached its bound was closed outright; it lingers like the others. Connections that only end no longer count as clients of a crowded house.

--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -54,6 +54,11 @@
         return asked_ ? 1 : age() > kHalfSent ? 0 : 3;
     }
     void tend() override;
+    void retire() override;
+    void evict() override {
+        if (begun()) retire();
+        close();
+    }
     void answer(int status, std::string_view fields, std::string_view body,
                 net::ByteBudget::Hold bytes = nullptr);
     void endAnswer();  // a long one is whole
@@ -97,7 +102,8 @@
     bool judgeHead();  // false: it was answered
     void reject(const boost::system::error_code& error);
     void begin(std::optional<Framing> framing);
-    void spoilt();  // the body cannot be read on: the request ends
+    void spoilt();       // the body cannot be read on: the request ends
+    void dropSurplus();  // what came behind a request that has no answer yet
 
     Front& front_;
     std::optional<net::MessageReader<true>> reader_;
@@ -107,6 +113,7 @@
          asked_ = false;                         // asked_: once at the least
     bool filling_ = false;                       // the request is with the engine and its body still comes
     bool passing_ = false;                       // a long answer is under way
+    bool surplus_ = false;                       // it sent more than one request at a time
     bool chunked_ = false, untilClose_ = false;  // how that one ends
     bool oldClient_ = false;                     // HTTP/1.0
     Clock::time_point since_;     // connecting, a request's first byte, or when its answer last went on
@@ -186,7 +193,10 @@
         if (asked_ && !reader_->gotSome()) since_ = lastByte_;
         return parse();
     }
-    if (!filling_) return;
+    if (!filling_) {
+        if (state_ == State::Waiting || passing_) dropSurplus();
+        return;
+    }
     if (drained_) emptyAt_ = front_.engine_.now();
     if (state_ == State::Answering) in_.clear();  // the answer did not wait for it
     else if (more_) std::exchange(more_, nullptr)();
@@ -268,7 +278,7 @@
         answer(408, "", "the request did not become whole in time\n");
     } else if (unread() == 0 && age() > (asked_ && !over(kCrowded) ? kKeep : kFirstBy)) {
         ++front_.counters_.silent;
-        close();
+        linger();
     }
 }
 
@@ -284,6 +294,7 @@
     auto message = std::make_shared<Message>(AskedHead(reader_->parser().get().base()));
     asked_ = true;
     keepAlive_ = reader_->parser().keep_alive();
+    if (!framing) dropSurplus();
     if (!framing) message->body() = std::move(body_), body_.clear();
     const auto wrong = [&](int status, std::string_view fields, std::string_view why) {
         ++front_.counters_.malformed;
@@ -347,12 +358,34 @@
     }
     if (filling_ && reader_->done()) {
         filling_ = false;
+        dropSurplus();
         front_.engine_.filled(id_, std::min(emptyAt_ + waitUs_, front_.answerBy_));
     }
     read();
     return n;
 }
 
+// Clients ask one thing at a time on a connection. One that sends more behind a request that has no answer
+// may be gone before its turn comes, and a full ring would hide that: nothing of it is served, it is read and
+// dropped, and the answer ends the connection. Empty lines behind a body are old clients' habit.
+void Front::Client::dropSurplus() {
+    bool blank = true;
+    for (const auto& part : in_.newest(in_.size()))
+        blank = blank && part.find_first_not_of("\r\n") == std::string_view::npos;
+    in_.clear();
+    if (blank || surplus_) return;
+    surplus_ = true;
+    ++front_.counters_.pipelined;
+    keepAlive_ = false;
+}
+
+// A request of which a part is here is taken as soon as its last byte comes: it gets its refusal before.
+void Front::Client::retire() {
+    if (!begun()) return linger();
+    keepAlive_ = false;
+    answer(503, front_.engine_.settings().retryAdvice ? "Retry-After: 0.100\r\n" : "", "");
+}
+
 void Front::Client::spoilt() {
     if (!open() || state_ != State::Waiting) return;
     ++front_.counters_.malformed;
@@ -398,9 +431,8 @@
     if (!open()) return;
     passing_ = false;
     ++front_.counters_.failed;
-    boost::system::error_code ignored;
-    if (untilClose_) socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
-    close();
+    if (untilClose_) reset();
+    else close();
 }
 
 void Front::Client::answer(int status, std::string_view fields, std::string_view body,
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -14,7 +14,8 @@
 public:
     struct Counters {
         std::uint64_t requests = 0, malformed = 0, tooLarge = 0, unsupported = 0;
-        std::uint64_t silent = 0, slow = 0, unread = 0, repeated = 0, noMemory = 0, crowded = 0;
+        std::uint64_t silent = 0, slow = 0, unread = 0, repeated = 0, noMemory = 0, crowded = 0,
+                      pipelined = 0;
         std::uint64_t ok = 0, refused = 0, failed = 0;
     };
     Front(net::Engine& engine, net::NodePool& pool, const config::Endpoint& listen, std::size_t mostClients,
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -261,9 +261,9 @@
     }
     // All that was taken is answered first; a connection that only began to ask holds nothing up for long.
     void lookWhetherDone() {
-        front_.door().closeIdle();
-        if (rsync_) rsync_->door().closeIdle();
-        const auto connections = front_.door().connections() + (rsync_ ? rsync_->door().connections() : 0);
+        front_.door().retireIdle();
+        if (rsync_) rsync_->door().retireIdle();
+        const auto connections = front_.door().held() + (rsync_ ? rsync_->door().held() : 0);
         const auto since = std::chrono::steady_clock::now() - leavingSince_;
         if (engine_.open() > 0 || (connections > 0 && since < kill_ - kGone)) {
             return after(kLookEvery, &Program::lookWhetherDone);
@@ -290,8 +290,11 @@
         const auto& d = discovery_.counters();
         const auto& p = peers_.counters();
         logger_.info(
-            "counters requests: taken={} delivered={} refused={} failed={} gone={} overdue={} open={}",
-            c.taken, answers.delivered, answers.refused, answers.failed, c.gone, c.overdue, engine_.open());
+            "counters requests: taken={} delivered={} refused={} failed={} gone={} overdue={} open={} "
+            "withdrawn={} "
+            "too_late={}",
+            c.taken, answers.delivered, answers.refused, answers.failed, c.gone, c.overdue, engine_.open(),
+            c.withdrawn, c.tooLate);
         logger_.info(
             "counters attempts: sent={} written={} ok={} error={} full={} timeout={} connect_failed={} "
             "reset={} "
@@ -304,10 +307,10 @@
             "counters http: connections={} open={} requests={} ok={} refused={} failed={} malformed={} "
             "too_large={} "
             "unsupported={} closed_idle={} "
-            "silent={} slow={} unread={} repeated={} no_memory={} crowded={}",
+            "silent={} slow={} unread={} repeated={} no_memory={} crowded={} pipelined={} hung_up={}",
             door.accepted(), door.connections(), f.requests, f.ok, f.refused, f.failed, f.malformed,
             f.tooLarge, f.unsupported, door.closedIdle(), f.silent, f.slow, f.unread, f.repeated, f.noMemory,
-            f.crowded);
+            f.crowded, f.pipelined, door.hungUp());
         if (rsync_) {
             const auto& r = rsync_->counters();
             logger_.info(
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -1,5 +1,8 @@
 #include "net/session.h"
 
+#include <poll.h>
+
+#include <array>
 #include <boost/asio/post.hpp>
 
 namespace wingproxy::net {
@@ -10,7 +13,10 @@
 // For the client to read the last answer and close: while it still sends, as with a body that is too long, a
 // close would reset the connection and could take the answer back. The whole is bounded, and so is silence.
 constexpr std::chrono::milliseconds kLingerQuiet{300};
+// Also how late a client's leaving is noticed where nothing is read from it: within 0.3 s it must be.
 constexpr std::chrono::milliseconds kTendEvery{200};
+// Read and dropped at a close, at the most: a client that floods is reset.
+constexpr int kMostDropped = 16;
 
 }  // namespace
 
@@ -93,6 +99,7 @@
 void Session::linger(std::chrono::milliseconds most) {
     if (!open_ || lingering_) return;
     lingering_ = true;
+    ++door_.lingering_;
     boost::system::error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
     in_.clear();
@@ -122,12 +129,34 @@
 
 void Session::touch() { door_.sessions_.splice(door_.sessions_.end(), door_.sessions_, place_); }
 
+void Session::reset() {
+    boost::system::error_code ignored;
+    if (open_) socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    reset_ = true;
+    close();
+}
+
+bool Session::hungUp() {
+    if (!open_ || reading_ || lingering_) return false;  // a read tells
+    pollfd at{socket_.native_handle(), POLLRDHUP, 0};
+    return ::poll(&at, 1, 0) > 0 && (at.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 void Session::close() {
     if (!open_) return;
     open_ = false;
-    boost::system::error_code ignored;
+    boost::system::error_code ignored, ended;
+    // A close over unread bytes is a reset, which takes back what the client has not read yet. The sending
+    // side ends first, so that nothing can come between the last look and the close that expects an answer.
+    if (!reset_) {
+        socket_.shutdown(tcp::socket::shutdown_send, ignored);
+        std::array<char, 4096> dropped;
+        for (int i = 0; i < kMostDropped && !ended && unread() > 0; ++i)
+            socket_.read_some(boost::asio::buffer(dropped), ended);
+    }
     socket_.close(ignored);
     linger_.cancel();
+    door_.lingering_ -= lingering_;
     door_.sessions_.erase(place_);  // may be the last but for who calls
 }
 
@@ -154,7 +183,11 @@
 void Door::tend() {
     for (auto it = sessions_.begin(); it != sessions_.end();) {
         const auto held = *it++;  // which may close itself, but no other
-        held->tend();
+        if (!held->lingering_) held->tend();
+        if (held->hungUp()) {
+            ++hungUp_;
+            held->left(), held->close();
+        }
     }
     tender_.expires_after(kTendEvery);
     tender_.async_wait([this](const boost::system::error_code& stopped) {
@@ -168,14 +201,19 @@
         if ((!first || session->givesWay() < first->givesWay()) && session->spare()) first = session;
     if (!first) return false;
     ++closedIdle_;
-    first->close();
+    first->evict();
     return true;
 }
 
 void Door::closeListener() { listener_.close(); }
 
-void Door::closeIdle() {
-    while (closeOldestIdle()) {}
+void Door::retireIdle() {
+    // In the next turn: what was read in this one may not have been looked at yet.
+    for (const auto& session : sessions_)
+        if (!session->lingering_ && session->idle())
+            boost::asio::post(io_, [held = session] {
+                if (held->open_ && !held->lingering_ && held->idle() && held->unread() == 0) held->retire();
+            });
 }
 
 void Door::stop() {
--- a/src/net/session.h
+++ b/src/net/session.h
@@ -23,7 +23,13 @@
     // Of those that may be closed to make room, the lowest first, and of equals the longest untouched.
     virtual int givesWay() const { return 0; }
     virtual void tend() {}  // looked at by its door now and then: closes what has waited too long
-    void close();
+    void close();  // at once; what came meanwhile is read and dropped, as unread bytes would reset it
+    // At a stop, when nothing is owed: closes without a reset, and what still comes is not served.
+    virtual void retire() { linger(); }
+    // In a full house, when nothing is owed: leaves its place at once.
+    virtual void evict() { close(); }
+    // The client closed or reset its connection, though nothing is read from it now: its ring is full.
+    bool hungUp();
 
 protected:
     virtual void received() = 0;  // there is more in in_
@@ -42,6 +48,7 @@
     void linger(std::chrono::milliseconds most = std::chrono::milliseconds(2'000));
     void touch();  // now the last of the idle ones to be closed
     bool open() const { return open_; }
+    void reset();                // closes so that the client sees a break
     std::size_t unread() const;  // bytes that wait in the system
 
     Door& door_;
@@ -59,7 +66,7 @@
     boost::asio::steady_timer linger_;
     std::chrono::steady_clock::time_point lingerSince_, lingerUntil_;
     Source source_;
-    bool open_ = true, reading_ = false, writing_ = false, lingering_ = false;
+    bool open_ = true, reset_ = false, reading_ = false, writing_ = false, lingering_ = false;
     std::list<std::shared_ptr<Session>>::iterator place_;
 };
 
@@ -71,11 +78,13 @@
     void open() { listener_.open(); }
     void leave() { listener_.leave(); }
     void closeListener();  // first takes the clients that wait
-    void closeIdle();
+    void retireIdle();     // closes gracefully what owes nothing
     void stop();
-    std::size_t connections() const { return sessions_.size(); }
+    std::size_t connections() const { return sessions_.size() - lingering_; }  // that may still ask
+    std::size_t held() const { return sessions_.size(); }                      // and those that only end
     std::uint64_t accepted() const { return accepted_; }
     std::uint64_t closedIdle() const { return closedIdle_; }
+    std::uint64_t hungUp() const { return hungUp_; }  // noticed while their bytes were not read
     std::size_t most() const { return most_; }
     void allow(std::size_t most) { most_ = most; }
     std::size_t ring() const { return ring_; }  // bytes a direction of each connection
@@ -88,7 +97,8 @@
     void tend();
     boost::asio::io_context& io_;
     std::size_t most_, ring_;
-    std::uint64_t accepted_ = 0, closedIdle_ = 0;
+    std::size_t lingering_ = 0;
+    std::uint64_t accepted_ = 0, closedIdle_ = 0, hungUp_ = 0;
     std::list<std::shared_ptr<Session>> sessions_;  // the longest untouched first
     Listener listener_;
     config::Endpoint at_;
--- a/tests/arrival_test.cpp
+++ b/tests/arrival_test.cpp
@@ -101,7 +101,7 @@
 }
 
 TEST_CASE(
-    "a crash: everyone's answer or a lease; one dead holder keeps a host from lending, not from spending") {
+    "a crash: everyone's answer or a lease, and one dead holder keeps a host from lending, not from spending") {
     Joined fleet(40);
     fleet.run(kSecond);
     const auto holders = fleet.hosts[5].holders();
--- /dev/null
+++ b/tests/endings_test.cpp
@@ -0,0 +1,345 @@
+// What is owed when something ends: clients that leave, connections that are closed, answers without a
+// length, repeats at the end of their window. Each test brings about the bad order itself.
+#include "net_support.h"
+#include "support.h"
+
+using namespace wingproxy;
+using namespace wingproxy::test;
+
+namespace {
+
+using std::chrono::milliseconds;
+// A client that left while its request waited must be forgotten within this time.
+constexpr milliseconds kForgotten{300};
+
+std::string id(int i) { return fmt::format("{:016x}", i); }
+
+// A node that is as busy as the module lets it be: whatever comes now waits here.
+struct Busy {
+    static constexpr int kPlaces = 3;
+    Busy() : rig(config()) {
+        for (int i = 0; i < kPlaces; ++i) {
+            clients.push_back(rig.client());
+            clients.back()->say(Ask{.id = id(i), .deadlineMs = 30'000}.text());
+            rig.nodeHas(id(i));
+        }
+    }
+    static config::Config config() {
+        auto config = baseConfig();
+        for (auto& c : config.settings.classes) c.aimUs = 20'000'000;
+        return config;
+    }
+    // A connection whose request waits here, with more behind it or half a body.
+    std::shared_ptr<tcp::socket> waiting(const std::string& text, std::size_t requests = 1) {
+        const auto before = rig.engine.counters().taken;
+        const auto socket = std::make_shared<tcp::socket>(rig.io);
+        socket->connect(net::tcpEndpoint(rig.front.door().at()));
+        asio::write(*socket, asio::buffer(text));
+        rig.until([&] { return rig.engine.counters().taken == before + requests; }, "the request waits");
+        return socket;
+    }
+    // Places come free, and another client's request passes: nothing of who left may have gone before it.
+    void nothingOf(int left) {
+        for (int i = 0; i < kPlaces; ++i) rig.nodeHas(id(i))->say(ok("hecho"));
+        for (const auto& client : clients) rig.until([&] { return client->has("hecho"); });
+        const auto last = rig.client();
+        last->say(Ask{.id = id(999)}.text());
+        rig.nodeHas(id(999));
+        for (const auto& wire : rig.node().wires) CHECK(!wire->has(id(left)));
+        CHECK(rig.engine.counters().taken == kPlaces + 2);
+    }
+    Rig rig;
+    std::vector<WirePtr> clients;
+};
+
+void resetNow(tcp::socket& socket) {
+    socket.set_option(asio::socket_base::linger(true, 0));
+    socket.close();
+}
+
+// What a client reads after all that is there: eof, or that it was reset.
+boost::system::error_code endOf(tcp::socket& socket, std::string& got) {
+    boost::system::error_code error;
+    socket.non_blocking(false);
+    asio::read(socket, asio::dynamic_buffer(got), error);
+    return error;
+}
+
+// An address whose connections do not come up before the test lets them: its queue is full.
+struct Unreachable {
+    explicit Unreachable(asio::io_context& io) : acceptor(io) {
+        acceptor.open(tcp::v4());
+        acceptor.bind({asio::ip::make_address("127.0.0.1"), 0});
+        acceptor.listen(0);
+        for (int i = 0; i < 8; ++i) {
+            fillers.emplace_back(io);
+            fillers.back().async_connect(acceptor.local_endpoint(), [](auto) {});
+        }
+    }
+    config::Endpoint at() const { return {"127.0.0.1", acceptor.local_endpoint().port()}; }
+    tcp::acceptor acceptor;
+    std::deque<tcp::socket> fillers;
+};
+
+const std::string kFlood = [] {
+    std::string all;
+    for (int i = 0; i < 300; ++i) all += Ask{.id = id(100 + i), .deadlineMs = 30'000}.text();
+    return all;
+}();
+// As much of a long body as fills the ring and the rest of which the system still holds.
+const std::string kHalfBody = fmt::format(
+    "PUT /api HTTP/1.1\r\nReq-Id: {}\r\nReq-Kind: alta\r\nTier: prioritario\r\nIdempotency-Key: k\r\n"
+    "Cookie: key=7f3a9c21e0b4d655\r\nReq-Deadline-Ms: 30000\r\nContent-Length: 1000000\r\n"
+    "IO-Info: volume=00000003b4d60021,units=2,shard=0,hosts=1\r\n\r\n{}",
+    id(100), std::string(3 * net::kMostRing, 'x'));
+
+}  // namespace
+
+TEST_CASE("a client that leaves while its request waits is forgotten at once, however it leaves") {
+    const struct {
+        const char* what;
+        std::string text;
+        bool reset;
+    } cases[] = {
+        {"FIN", Ask{.id = id(100), .deadlineMs = 30'000}.text(), false},
+        {"RST", Ask{.id = id(100), .deadlineMs = 30'000}.text(), true},
+        {"hundreds of requests at once, then FIN", kFlood, false},
+        {"hundreds of requests at once, then RST", kFlood, true},
+        {"a full receive ring, then FIN", kHalfBody, false},
+        {"a full receive ring, then RST", kHalfBody, true},
+    };
+    for (const auto& c : cases) {
+        CAPTURE(c.what);
+        Busy busy;
+        auto& rig = busy.rig;
+        const auto leaver = busy.waiting(c.text);
+        const auto since = std::chrono::steady_clock::now();
+        if (c.reset) resetNow(*leaver);
+        else leaver->close();
+        rig.until([&] { return rig.engine.counters().gone == 1; }, c.what);
+        CHECK(std::chrono::steady_clock::now() - since < kForgotten);
+        CHECK(rig.engine.open() == Busy::kPlaces);
+        busy.nothingOf(100);
+        CHECK(rig.front.counters().pipelined == (c.text == kFlood ? 1 : 0));
+        CHECK(rig.front.door().hungUp() == (c.text == kHalfBody ? 1 : 0));
+    }
+}
+
+TEST_CASE("a client that leaves while its attempt's connection comes up: no byte leaves") {
+    for (const bool reset : {false, true}) {
+        auto config = baseConfig();
+        config.connectTimeoutUs = 10'000'000;
+        config.settings.drainGraceUs = 0;
+        Rig rig(std::move(config));
+        Unreachable node(rig.io);
+        rig.engine.news({{ListKind::Delta, 2, {{"s-0", "z", 0, 1, NodeState::Ready, 1}}}, {node.at()}});
+        const auto client = rig.client();
+        client->say(Ask{.deadlineMs = 30'000}.text());
+        rig.until([&] { return rig.engine.counters().attempts == 1; });
+        REQUIRE(rig.pool.open() == 1);
+        if (reset) client->reset();
+        else client->close();
+        rig.until([&] { return rig.engine.counters().gone == 1; });
+        CHECK(rig.engine.counters().withdrawn == 1);
+        rig.until([&] { return rig.pool.open() == 0; });  // closed, so nothing can be written on it
+        CHECK(rig.outcomes(Outcome::Cancelled) == 1);
+        CHECK(rig.engine.counters().written == 0);
+    }
+}
+
+TEST_CASE("what comes behind a request is served to nobody, and its answer ends the connection") {
+    Rig rig;
+    const auto client = rig.client(), blank = rig.client();
+    client->say(Ask{.id = id(1)}.text() + Ask{.id = id(2)}.text());
+    const auto node = rig.nodeHas(id(1));
+    client->say(Ask{.id = id(3)}.text());
+    node->say(ok("uno"));
+    rig.until([&] { return client->has("uno") && client->ended; });
+    CHECK(rig.engine.counters().taken == 1);
+    CHECK(rig.front.counters().pipelined == 1);
+    blank->say(Ask{.kind = "alta", .body = "x"}.text() + "\r\n");  // old clients' habit
+    rig.nodeHas("Idempotency-Key")->say(ok("dos"));
+    rig.until([&] { return blank->has("dos"); });
+    CHECK(!blank->has("Connection: close"));
+    CHECK(rig.front.counters().pipelined == 1);
+}
+
+TEST_CASE(
+    "an idle connection that is ended in order: a request that crosses it is not served and meets no reset") {
+    Rig rig;
+    tcp::socket client(rig.io);
+    client.connect(net::tcpEndpoint(rig.front.door().at()));
+    rig.until([&] { return rig.front.door().connections() == 1; });
+    rig.front.door().retireIdle();
+    rig.until([&] { return rig.front.door().connections() == 0; });
+    asio::write(client, asio::buffer(Ask{}.text()));  // on its way when the front ended its side
+    rig.until([&] { return rig.front.door().held() == 0; });
+    std::string got;
+    CHECK(endOf(client, got) == asio::error::eof);
+    CHECK(got.empty());
+    CHECK(rig.engine.counters().taken == 0);
+}
+
+TEST_CASE("a close over bytes that were not read is an end to the client, not a reset") {
+    const std::function<void(net::Door&)> closes[] = {
+        [](net::Door& door) { door.stop(); },
+        [](net::Door& door) { door.stop(), door.stop(); },
+    };
+    for (const auto& close : closes) {
+        Rig rig;
+        tcp::socket client(rig.io);
+        client.connect(net::tcpEndpoint(rig.front.door().at()));
+        rig.until([&] { return rig.front.door().connections() == 1; });
+        asio::write(client, asio::buffer(Ask{}.text()));  // in the system, and the loop does not run
+        close(rig.front.door());
+        std::string got;
+        CHECK(endOf(client, got) == asio::error::eof);
+    }
+}
+
+TEST_CASE("a stop while a request is half sent: it is refused with an answer") {
+    Rig rig;
+    const auto half = rig.client();
+    asio::write(half->socket, asio::buffer("GET /api HTTP/1.1\r\nReq-Id: ", 26));
+    rig.until([&] { return rig.front.door().connections() == 1; });
+    rig.front.drain();
+    rig.until([&] {
+        rig.front.door().retireIdle();  // as the program does, every 20 ms; it is quiet after a while
+        return half->ended;
+    });
+    CHECK(half->has("HTTP/1.1 503 "));
+    CHECK(half->has("Retry-After: "));
+    CHECK(half->has("Connection: close"));
+}
+
+TEST_CASE("a full house: a half-sent request that gives way is refused with an answer") {
+    Rig rig(baseConfig(), 1, 1);
+    const auto half = rig.client();
+    half->say("GET /api HTTP/1.1\r\nReq-Id: ");
+    rig.until([&] { return rig.front.door().connections() == 1; });
+    const auto next = rig.client();
+    next->say("GET /up HTTP/1.1\r\n\r\n");
+    rig.until([&] { return next->has(" 200 ") && half->ended; });
+    CHECK(half->has("HTTP/1.1 503 "));
+}
+
+TEST_CASE("an answer without a length ends with the node's FIN, in both versions of HTTP") {
+    for (const auto* head : {"HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.0 200 OK\r\n\r\n",
+                             "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"}) {
+        CAPTURE(head);
+        Rig rig;
+        const auto client = rig.client();
+        client->say(Ask{}.text());
+        const auto node = rig.nodeHas("Req-Id");
+        node->say(std::string(head) + "hasta el fin");
+        node->socket.shutdown(tcp::socket::shutdown_send);
+        rig.until([&] { return client->has("hasta el fin"); });
+        CHECK(client->has("HTTP/1.1 200 "));
+        CHECK(client->has("Content-Length: 12\r\n"));
+        CHECK(rig.node().wires.size() == 1);
+        rig.until([&] { return node->ended; });  // and the connection serves no other
+    }
+}
+
+TEST_CASE("an answer without a length that is reset has not ended: it may have run, and is tried again") {
+    for (const auto* head : {"HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.0 200 OK\r\n\r\n",
+                             "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"}) {
+        CAPTURE(head);
+        auto config = baseConfig();
+        for (auto& c : config.settings.classes) c.aimUs = 20'000'000;  // patience with a pause: 250 ms
+        Rig rig(std::move(config));
+        const auto client = rig.client();
+        client->say(Ask{.deadlineMs = 30'000}.text());
+        const auto node = rig.nodeHas("Req-Id");
+        asio::write(node->socket, asio::buffer(std::string(head) + "a medias"));
+        node->reset();
+        rig.until([&] { return rig.outcomes(Outcome::Reset) == 1; }, "a reset");
+        rig.until([&] { return rig.node().wires.size() == 2; }, "another attempt");
+        rig.node().wires[1]->say(ok("entera"));
+        rig.until([&] { return client->has("entera"); });
+        CHECK(!client->has("a medias"));
+    }
+}
+
+TEST_CASE("a list without a length: a FIN ends it, a reset does not") {
+    const std::string list =
+        "HTTP/1.1 200 OK\r\n\r\n{\n  \"generation\": 9,\n  \"reset\": true,\n  \"instances\": [ ]\n}\n";
+    Rig rig;
+    const auto asked = [&](std::size_t i) {
+        rig.until([&] {
+            return rig.discoveryServer.wires.size() == i + 1 && rig.discoveryServer.wires[i]->has("\r\n\r\n");
+        });
+        return rig.discoveryServer.wires[i];
+    };
+    auto wire = asked(0);
+    asio::write(wire->socket, asio::buffer(list));
+    wire->reset();
+    rig.until([&] { return rig.discovery.counters().failed == 1; });
+    CHECK(rig.engine.listVersion() != 9);
+    wire = asked(1);
+    wire->say(list);
+    wire->socket.shutdown(tcp::socket::shutdown_send);
+    rig.until([&] { return rig.discovery.counters().answers == 1; });
+    CHECK(rig.engine.listVersion() == 9);
+}
+
+namespace {
+
+core::Effects step(core::State& state, Micros now, core::Input input) {
+    auto all = core::reduce(state, now, std::move(input));
+    for (auto& e : core::reduce(state, now, core::CloseBatch{})) all.push_back(std::move(e));
+    return all;
+}
+
+template <typename T>
+std::vector<T> of(const core::Effects& effects) {
+    std::vector<T> out;
+    for (const auto& e : effects)
+        if (const auto* t = std::get_if<T>(&e)) out.push_back(*t);
+    return out;
+}
+
+}  // namespace
+
+// The class of a key that is honoured for 1 s: the first attempt breaks just before that.
+TEST_CASE("a repeat whose last byte would come past its class's window is broken off before it") {
+    auto settings = test::settings();
+    settings.classes[1].aimUs = 3 * kSecond;  // so that it is still worth a repeat by then
+    const Micros window = settings.classes[1].windowUs;
+    for (const bool written : {false, true}) {
+        core::State state(settings, core::Limits{250 * kMs}, kStart);
+        step(state, kStart, core::News{nodes({node("n0", 0)})});
+        auto asked = request(1, 1, 1, kStart);
+        asked.deadlineUs = kStart + 4 * kSecond;
+        const auto first = of<core::StartAttempt>(step(state, kStart, core::Arrived{asked}));
+        REQUIRE(first.size() == 1);
+        CHECK(first[0].lastByteBy == core::StartAttempt::kNever);
+        step(state, kStart, core::Written{1, 0});
+        const Micros broke = kStart + window - 20 * kMs;
+        const auto repeat =
+            of<core::StartAttempt>(step(state, broke, core::Ended{1, 0, Outcome::Reset, 0, 0, {}}));
+        REQUIRE(repeat.size() == 1);
+        CHECK(repeat[0].lastByteBy == kStart + window);
+        CHECK(repeat[0].firstByteBy <= kStart + window);
+        if (written) step(state, kStart + window - kMs, core::Written{1, 1});
+        const auto after = step(state, kStart + window, core::Wake{});
+        CHECK(of<core::StopAttempt>(after).size() == (written ? 0 : 1));
+        CHECK(of<core::FailClient>(after).size() == (written ? 0 : 1));  // it may have run: no refusal
+        CHECK(state.counters().tooLate == (written ? 0 : 1));
+    }
+}
+
+TEST_CASE("an attempt past its window writes nothing on a connection that is up") {
+    Rig rig;
+    const auto message = std::make_shared<http::Message>(boost::beast::http::verb::get, "/api", 11);
+    const auto attempt = std::make_shared<http::NodeAttempt>(
+        rig.engine, rig.pool,
+        net::AttemptOrder{9, 0, rig.node().at(), rig.engine.now() + 1'000'000, rig.engine.now() + 1'000'000,
+                          rig.engine.now() - 1},
+        message, std::nullopt, std::weak_ptr<http::Caller>(),
+        [](int, http::Answer, net::ByteBudget::Hold) {});
+    attempt->start();
+    rig.until([&] { return rig.node().wires.size() == 1 && rig.node().wires[0]->ended; });
+    CHECK(rig.node().wires[0]->got.empty());
+    CHECK(rig.engine.counters().written == 0);
+}
--- a/tests/fleet_process_test.cpp
+++ b/tests/fleet_process_test.cpp
@@ -63,7 +63,7 @@
 }
 
 TEST_CASE(
-    "processes: killed while a link is cut, a front waits for its lease; the limit holds over all lives") {
+    "processes: killed while a link is cut, a front waits for its lease, and the limit holds over all lives") {
     Fleet fleet(3, 7);
     fleet.relay->all(kBad);
     startAll(fleet);
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -460,7 +460,7 @@
     rig.until([&] { return rig.outcomes(Outcome::Ok) == 1; });
 }
 
-TEST_CASE("nothing new goes to a node after it was told to drain; what is out may end") {
+TEST_CASE("nothing new goes to a node after it was told to drain, and what is out may end") {
     auto config = baseConfig();
     config.settings.drainGraceUs = 0;
     Rig rig(std::move(config));
@@ -533,7 +533,7 @@
     const auto second = rig.nodeHas("00000000000000b2");
     second->say(ok("tambien"));
     rig.until([&] { return busy->has("hecho") && late->has("tambien") && busy->ended; });
-    rig.front.door().closeIdle();
+    rig.front.door().retireIdle();
     rig.until([&] { return idle->ended; });
     CHECK(busy->has("Connection: close"));
     rig.until([&] { return rig.front.door().connections() == 0 && rig.engine.open() == 0; });
