Let a connection rest after an answer, and ask a pushed list's agent anew within a drain's grace

- NodePool gave a connection to the next request in the very turn in which its answer was whole.
What a node sends twice, some milliseconds late, was then read as that request's answer, which no chunk server made for it; quiet() looks only before the request is written.
A connection now rests for 20 ms; of those that have, the newest is taken.
- Where lists are pushed, what the agent has counts as told, watch or no watch.
A call anew allowed a wait of 1 s and 2.5 s of patience, and 0.5 s until the next: an agent that was down could be back for 4 s before the front heard of a drain that binds after 1 s.
Such a call now does not wait, is missed after a quarter of the grace, and repeated after an eighth.
Lists that are asked for are called as before.

Ruled out: a rest only after a stray answer was seen (the first one would pass).

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -34,6 +34,8 @@
 // Answers end their connections for this long before idle ones are closed.
 constexpr std::chrono::milliseconds kLastRequests{100};
 constexpr std::chrono::milliseconds kLookEvery{20};
+// "Some milliseconds" late comes what a node answers twice, with every customer (standing test, join days).
+constexpr std::chrono::milliseconds kRest{20};
 constexpr std::chrono::milliseconds kLookForOther{100};  // far below the 1 s that a call's answer allows
 // Standard streams, listeners, checks, discovery; and the operators' calls.
 constexpr int kOwnDescriptors = 24 + int(operation::kMostCallers);
@@ -73,7 +75,7 @@
           budget_(budget(config.sockets, true, extra.rsync.has_value())),
           engine_(io_, halved(config, shared_), logger),
           pool_(io_, {budget_.nodes, std::chrono::microseconds(config.connectTimeoutUs),
-                      std::chrono::microseconds(config.connIdleUs / 2), budget_.ring}),
+                      std::chrono::microseconds(config.connIdleUs / 2), budget_.ring, kRest}),
           rsyncPool_(io_, {budget_.rsyncNodes, std::chrono::microseconds(config.connectTimeoutUs),
                            std::chrono::microseconds(0), budget_.ring}),
           discovery_(engine_, config.discovery),
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -7,7 +7,10 @@
 namespace wingproxy::net {
 namespace {
 
-constexpr std::chrono::milliseconds kAgain{500};  // after a failed call that the module does not hear of
+// Where lists are pushed: parts of a drain's grace in which a silent call is missed, and another one follows.
+// With a half of it for the first byte of an attempt (core/reducer.cpp) that leaves an eighth.
+constexpr int kMissedPart = 4, kAgainPart = 8;
+constexpr std::chrono::milliseconds kMissed{500}, kAgain{500};  // at the most, and where no rule holds
 constexpr std::size_t kMostList = 1024 * 1024;
 
 }  // namespace
@@ -16,10 +19,19 @@
     : engine_(engine),
       at_(at),
       timing_(timing),
+      pushed_(!engine.settings().listOnRequest),
+      againIn_(kAgain),
       pool_(engine.io(), {2, std::chrono::seconds(1), std::chrono::seconds(10)}),
       timeout_(engine.io()),
       again_(engine.io()) {
-    if (!engine.settings().listOnRequest) watch(true);
+    if (!pushed_) return;
+    timing_.patienceAnew = std::min(timing_.patienceAnew, kMissed);
+    if (const std::chrono::microseconds grace(engine.settings().drainGraceUs); grace.count() > 0) {
+        timing_.patienceAnew = std::min(
+            timing_.patienceAnew, std::chrono::duration_cast<std::chrono::milliseconds>(grace / kMissedPart));
+        againIn_ = std::min(againIn_, grace / kAgainPart);
+    }
+    watch(true);
 }
 
 void Discovery::watch(bool on) {
@@ -55,11 +67,14 @@
     pool_.clear();
 }
 
+std::chrono::milliseconds Discovery::wait() const {
+    return whole_ || (pushed_ && !goesOn_) ? std::chrono::milliseconds(0) : timing_.wait;
+}
+
 void Discovery::call() {
     calling_ = true;
     ++counters_.calls;
-    const auto wait = whole_ ? std::chrono::milliseconds(0) : timing_.wait;
-    timeout_.expires_after(wait + (goesOn_ ? timing_.patience : timing_.patienceAnew));
+    timeout_.expires_after(wait() + (goesOn_ ? timing_.patience : timing_.patienceAnew));
     timeout_.async_wait([this](const boost::system::error_code& error) {
         if (!error && calling_) fail("no answer in time");
     });
@@ -71,7 +86,7 @@
 
 void Discovery::send(std::shared_ptr<Connection> connection) {
     const auto query =
-        whole_ ? "" : fmt::format("?after={}&wait_ms={}", engine_.listVersion(), timing_.wait.count());
+        whole_ ? "" : fmt::format("?after={}&wait_ms={}", engine_.listVersion(), wait().count());
     auto request =
         fmt::format("GET /discovery/hosts{} HTTP/1.1\r\nHost: {}:{}\r\nAccept: application/json\r\n\r\n",
                     query, at_.host, at_.port);
@@ -104,8 +119,8 @@
     ++counters_.failed;
     abandon();
     engine_.logger().warn("discovery: call failed, {}", why);
-    if (engine_.settings().listOnRequest) return engine_.lost();
-    again_.expires_after(kAgain);
+    if (!pushed_) return engine_.lost();
+    again_.expires_after(againIn_);
     again_.async_wait([this](const boost::system::error_code& error) {
         if (!error && on_ && !calling_) call();
     });
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -11,6 +11,8 @@
 // A watch may be lost on its way: a short one is missed soon. An answer later than the patience counts as
 // lost. A call anew waits for its turn among those of all fronts, which discovery allows 2 s: it must hear
 // of that end, as a call that is left sooner keeps its place there and the next one waits behind it.
+// Where lists are pushed an agent beside this front holds them, and what it has counts as told, watch or no
+// watch: a call anew does not wait, and what lies between two such calls fits into the grace of a drain.
 struct WatchTiming {
     std::chrono::milliseconds wait{1'000}, patience{500}, patienceAnew{2'500};
 };
@@ -33,10 +35,13 @@
     void send(std::shared_ptr<Connection> connection);
     void answered(Exchange::Result result, const Exchange::Response& response);
     void fail(const char* why);
+    std::chrono::milliseconds wait() const;  // that the next call allows
 
     Engine& engine_;
     config::Endpoint at_;
     WatchTiming timing_;
+    const bool pushed_;
+    std::chrono::microseconds againIn_;  // after a failed call that the module does not hear of
     NodePool pool_;
     boost::asio::steady_timer timeout_, again_;
     std::shared_ptr<NodePool::Ticket> ticket_;
--- a/src/net/node_pool.cpp
+++ b/src/net/node_pool.cpp
@@ -97,9 +97,13 @@
 
 std::shared_ptr<Connection> NodePool::takeIdle(const config::Endpoint& to) {
     const auto it = idle_.find(to);
-    while (it != idle_.end() && !it->second.empty()) {
-        auto connection = std::move(it->second.back());  // the newest: the others may go idle for good
-        it->second.pop_back();
+    if (it == idle_.end()) return nullptr;
+    const auto rested = std::chrono::steady_clock::now() - limits_.rest;
+    auto& all = it->second;
+    for (auto i = all.size(); i-- > 0;) {  // the newest that has rested: the others may go idle for good
+        if (all[i]->idleSince > rested) continue;
+        auto connection = std::move(all[i]);
+        all.erase(all.begin() + std::ptrdiff_t(i));
         if (quiet(connection->socket)) return connection;
     }
     return nullptr;
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -343,3 +343,43 @@
     CHECK(rig.node().wires[0]->got.empty());
     CHECK(rig.engine.counters().written == 0);
 }
+
+TEST_CASE("a connection rests after an answer: what the node sends twice is not the next one's answer") {
+    asio::io_context io;
+    StandIn node(io);
+    const auto until = [&](const std::function<bool()>& so) {
+        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(15);
+        while (!so() && std::chrono::steady_clock::now() < end) io.run_one_for(milliseconds(50));
+        REQUIRE(so());
+    };
+    for (const bool rests : {true, false}) {
+        net::NodePool pool(io, {8, std::chrono::seconds(1), std::chrono::seconds(15), net::kLeastRing,
+                                std::chrono::seconds(rests ? 60 : 0)});
+        std::shared_ptr<net::Connection> first, second;
+        auto ticket = pool.acquire(node.at(), [&](auto c) { first = c; });
+        until([&] { return first != nullptr; });
+        const auto* const was = first.get();
+        pool.release(std::exchange(first, nullptr));
+        ticket = pool.acquire(node.at(), [&](auto c) { second = c; });
+        until([&] { return second != nullptr; });
+        CHECK((second.get() == was) == !rests);
+        CHECK(pool.reused() == (rests ? 0 : 1));
+        pool.clear();
+    }
+}
+
+// What an agent has counts as told at once: a front that does not hear it sends to a node that drains.
+TEST_CASE("pushed lists: an agent that says nothing is asked anew well within the grace of a drain") {
+    auto config = baseConfig();
+    config.settings.listOnRequest = false;
+    config.settings.drainGraceUs = 800'000;
+    Rig rig(std::move(config));
+    const auto since = std::chrono::steady_clock::now();
+    rig.until([&] {  // takes the first call and says nothing
+        return rig.discoveryServer.wires.size() == 2 && rig.discoveryServer.wires[1]->has("\r\n\r\n");
+    });
+    CHECK(std::chrono::steady_clock::now() - since < milliseconds(500));
+    for (const auto& wire : rig.discoveryServer.wires) CHECK(wire->has("&wait_ms=0 "));  // it has it or not
+    rig.tellState("s-0", "draining");
+    rig.until([&] { return rig.discoveryServer.wires.back()->has("after=2&wait_ms=60000 "); });
+}
