Tell the module of failed calls where lists are pushed, so that late drains get nothing more

Cause, by reading: a node that begins to drain and is alone in its cell serves on for 0.7 of the grace from when the drain was read, unless a call failed before (policy.cpp, on(NodeList)), as it may then have been told earlier. Where lists are pushed, Discovery::fail kept that from the module. What the agent has counts as told, watch or no watch: with the 0.25 s until a call is missed, 0.125 s until the next and 0.7 s of serving on, the last send came 1.08 s after it was told.

Change: the module hears of it in both kinds; where lists are pushed it still never asks. Test: endings_test.cpp, the agent resets a call and then tells the drain: the node got the request before the mend.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -114,12 +114,14 @@
     if (on_) call();  // at once: a watch goes on within 200 ms
 }
 
-// The module hears of it and asks again when it wants to; where lists come unasked it never asks.
+// The module hears of it, as what the next list tells may have been told before, and asks again when it wants
+// to; where lists come unasked it never asks.
 void Discovery::fail(const char* why) {
     ++counters_.failed;
     abandon();
     engine_.logger().warn("discovery: call failed, {}", why);
-    if (!pushed_) return engine_.lost();
+    engine_.lost();
+    if (!pushed_) return;
     again_.expires_after(againIn_);
     again_.async_wait([this](const boost::system::error_code& error) {
         if (!error && on_ && !calling_) call();
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -41,7 +41,8 @@
     config::Endpoint at_;
     WatchTiming timing_;
     const bool pushed_;
-    std::chrono::microseconds againIn_;  // after a failed call that the module does not hear of
+    std::chrono::microseconds
+        againIn_;  // after a failed call where lists are pushed: the module does not ask
     NodePool pool_;
     boost::asio::steady_timer timeout_, again_;
     std::shared_ptr<NodePool::Ticket> ticket_;
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -418,6 +418,36 @@
     rig.until([&] { return rig.discoveryServer.wires.back()->has("after=2&wait_ms=60000 "); });
 }
 
+// The only node of a cell serves on for a part of the grace after its drain was read. Where the call before
+// failed the agent may have had that drain for as long: what is read then counts as read too late for that.
+TEST_CASE(
+    "pushed lists: a drain that is read after a failed call may have been told before: nothing is sent") {
+    for (const bool failed : {true, false}) {
+        CAPTURE(failed);
+        auto config = baseConfig();
+        config.settings.listOnRequest = false;
+        config.settings.drainGraceUs = 10'000'000;  // nothing of it passes while the test runs
+        Rig rig(std::move(config));
+        rig.until([&] {
+            return !rig.discoveryServer.wires.empty() && rig.discoveryServer.wires[0]->has("\r\n\r\n");
+        });
+        if (failed) {
+            rig.discoveryServer.wires[0]->reset();
+            rig.until([&] { return rig.discoveryServer.wires.size() == 2; });
+        }
+        rig.tellState("s-0", "draining");
+        const auto client = rig.client();
+        client->say(Ask{.deadlineMs = 30'000}.text());
+        const auto reached = [&] {
+            return std::any_of(rig.node().wires.begin(), rig.node().wires.end(),
+                               [](const auto& wire) { return wire->has("Req-Id"); });
+        };
+        rig.until([&] { return client->has("HTTP/1.1 ") || reached(); });
+        CHECK(reached() == !failed);
+        CHECK(client->has("HTTP/1.1 503 ") == failed);
+    }
+}
+
 // The program itself: one request at its node, one that comes on a connection that stays open, and a client
 // that rests until the front ends it. All of it is served or ended in order, before the platform may kill.
 TEST_CASE(
