Give test processes ports below the system's own range, and print a front's log where it does not start

Cause: in one run of all tests, six at a time, a front of the fleet tests did not start. Its ports had been bound and let go, so that a connection of any other test could take one before the front bound it. The log is printed now.

--- a/tests/fleet_support.h
+++ b/tests/fleet_support.h
@@ -103,7 +103,8 @@
     static constexpr double kUnits = 2;
     explicit Fleet(std::size_t n, std::uint64_t seed) {
         std::vector<udp::endpoint> at;
-        for (std::size_t i = 0; i < n; ++i) at.push_back(freeUdp());
+        for (std::size_t i = 0; i < n; ++i)
+            at.emplace_back(asio::ip::make_address("127.0.0.1"), freePort(rig.io));
         relay = std::make_unique<Relay>(rig.io, at, seed);
         std::string pattern = (std::filesystem::temp_directory_path() / "wingproxy-fleet-XXXXXX").string();
         folder = mkdtemp(pattern.data());
@@ -119,9 +120,6 @@
         fronts.clear();
         std::filesystem::remove_all(folder);
     }
-    udp::endpoint freeUdp() {
-        return udp::socket(rig.io, udp::endpoint(asio::ip::make_address("127.0.0.1"), 0)).local_endpoint();
-    }
     std::string config(std::size_t i, std::size_t n) {
         auto json = config::readFile(std::string(WINGPROXY_SOURCE) + "/tests/config.json");
         const auto put = [&](const std::string& from, const std::string& to) {
@@ -147,7 +145,9 @@
     Process& start(std::size_t i) {
         fronts[i] = std::make_unique<Process>(folder / std::to_string(i), lives++,
                                               listening[i].native_handle(), freePort(rig.io));
-        rig.until([&] { return fronts[i]->said(fmt::format("n{} listens on", i)); }, "a front starts");
+        const auto started = [&] { return fronts[i]->said(fmt::format("n{} listens on", i)); };
+        rig.until([&] { return started() || !fronts[i]->running(); }, "a front starts");
+        REQUIRE_MESSAGE(started(), config::readFile(fronts[i]->log.string()));
         return *fronts[i];
     }
     // The counters line of the fleet says so; asked again until it does.
--- a/tests/process_support.h
+++ b/tests/process_support.h
@@ -7,6 +7,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <boost/asio/ip/udp.hpp>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -15,9 +16,24 @@
 
 namespace wingproxy::test {
 
-// A free port of this address: bound and let go.
+// A port for a process that starts later, over TCP and UDP: below those that the system gives by itself,
+// which any connection of a test that runs beside this one may take meanwhile, and another one for each test
+// process.
 inline std::uint16_t freePort(asio::io_context& io) {
-    return tcp::acceptor(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)).local_endpoint().port();
+    constexpr int kFirst = 20'000, kMany = 12'000, kForEach = 64;
+    static int next = getpid() * kForEach % kMany;
+    for (int tries = 0; tries < kMany; ++tries) {
+        const auto port = std::uint16_t(kFirst + next++ % kMany);
+        const auto address = asio::ip::make_address("127.0.0.1");
+        boost::system::error_code taken;
+        tcp::acceptor stream(io, tcp::v4());
+        asio::ip::udp::socket datagrams(io, asio::ip::udp::v4());
+        stream.bind({address, port}, taken);
+        if (!taken) datagrams.bind({address, port}, taken);
+        if (!taken) return port;
+    }
+    FAIL("no free port");
+    return 0;
 }
 
 struct Process {
