Take what was one customer's from the settings: cold nodes' memory, advice, slow beginners; test the exits

Causes, from an audit of every constant in src/ against settings and protocol: - The module forgot a node 30 s after it left the list, and with it what a cold one had been sent; a customer's rule may count over longer (obligations.fallUs). It is kept as long as the rule counts (policy.cpp, forget). - What the front refuses by itself advised 0.1 s whatever clients honour (allowed.maxRetryAfterUs). - A head's time ran from connecting, so a client that is slow to begin had less of it; since truncated requests end after 2.7 s that could end one that took 2 s for its head. It runs from the first byte, as on later requests. Comments now say why the other times, sizes and counts hold for every customer.

Tests, each seen to fail without its mend: rules_test.cpp (a cold node that is listed again: 6 requests instead of none), endings_test.cpp (advice, slow beginner). Without a fault found: SIGTERM with deadlines of 0.2 s and of 8 s, discovery that moves and fails the first call there, a full pool.

--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -15,9 +15,14 @@
 namespace beast = boost::beast;
 using beast::http::field;
 
-// The answer's last byte must be with the client by its deadline: this much is kept for the way there.
+// The times here are of the protocol's pages, the same for every customer: no setting speaks of how clients
+// connect, write and read.
+
+// The answer's last byte must be with the client by its deadline: this much is kept for the way there, which
+// is below 1 ms between machines of one place; the page's slack on every deadline is more than ten times
+// that.
 constexpr Micros kAnswerRoom = 3'000;
-// A connection's first byte comes this long after connecting.
+// A connection's first byte comes this long after connecting: from then on the page lets a front close it.
 constexpr std::chrono::seconds kFirstBy{2};
 // A head is whole this long after its first byte, and a body brings so many bytes a second beyond that: the
 // slowest clients take 2 s and bring four times as many. What stays truncated, and brings nothing for so
@@ -26,7 +31,9 @@
 constexpr std::size_t kBodyRate = 16 * 1024;
 // A half-sent request that has brought nothing for so long leaves its place to another client.
 constexpr std::chrono::milliseconds kHalfSent{250};
-constexpr std::chrono::seconds kAnswerRead{30};  // for a client to take anything more of its answer
+// For a client to take anything more of its answer, or to go on with a long body: peers take seconds, not
+// this.
+constexpr std::chrono::seconds kAnswerRead{30};
 // A client that was answered before its body was whole may go on sending for so long.
 constexpr std::chrono::seconds kStillSending{10};
 // A connection between requests is kept so long, and where the house is this full only as long as a silent
@@ -38,6 +45,14 @@
 // Where no new connections come, this part of those that are open is kept free, and so many at the least: a
 // client that finds all of them busy takes the front for dead.
 constexpr std::size_t kFreePart = 3, kLeastFree = 4;
+// When to come back to a front that was short of room or is ending: no answer of a node is awaited for it.
+constexpr Micros kBusyAdvice = 100'000;
+
+// What a refusal advises, where the settings allow it, and at most what clients honour.
+std::string retryField(const Settings& settings, Micros us) {
+    const auto advice = std::min(us, settings.maxRetryAfterUs);
+    return settings.retryAdvice && advice > 0 ? fmt::format("Retry-After: {}\r\n", retryAfter(advice)) : "";
+}
 
 }  // namespace
 
@@ -163,7 +178,7 @@
               body, std::move(bytes));
     }
     void refuse(Micros retryAfterUs) override {
-        reply(503, retryAfterUs > 0 ? fmt::format("Retry-After: {}\r\n", retryAfter(retryAfterUs)) : "", "");
+        reply(503, retryField(front.engine_.settings(), retryAfterUs), "");
     }
     void fail() override { reply(500, "", ""); }
     void reply(int status, std::string_view fields, std::string_view body,
@@ -191,7 +206,7 @@
 void Front::Client::received() {
     lastByte_ = Clock::now();
     if (state_ == State::Reading) {
-        if (asked_ && !reader_->gotSome()) since_ = lastByte_;
+        if (!reader_->gotSome()) since_ = lastByte_;
         return parse();
     }
     if (!filling_) {
@@ -245,7 +260,7 @@
     if (!isLong && !(bytes_ = net::holdBody(reader_->parser(), front_.engine_.bodies(), kMostWhole))) {
         ++front_.counters_.noMemory;
         keepAlive_ = false;
-        answer(503, front_.engine_.settings().retryAdvice ? "Retry-After: 0.100\r\n" : "", "");
+        answer(503, retryField(front_.engine_.settings(), kBusyAdvice), "");
         return false;
     }
     waitsToSend_ = !reader_->done() && beast::iequals(head[field::expect], "100-continue");
@@ -384,7 +399,7 @@
 void Front::Client::retire() {
     if (!begun()) return linger();
     keepAlive_ = false;
-    answer(503, front_.engine_.settings().retryAdvice ? "Retry-After: 0.100\r\n" : "", "");
+    answer(503, retryField(front_.engine_.settings(), kBusyAdvice), "");
 }
 
 void Front::Client::spoilt() {
--- a/src/http/node_client.cpp
+++ b/src/http/node_client.cpp
@@ -11,6 +11,7 @@
 
 // A long answer of which nothing comes for so long has broken: peers take seconds, not this.
 constexpr std::chrono::seconds kSilent{30};
+// A probe that is lost changes nothing (the module takes only answers), so this bounds only what it holds.
 constexpr std::chrono::milliseconds kProbeTimeout{250};
 // An answer that has begun goes on within this part of the shortest aim: another attempt may still be in
 // time.
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -28,6 +28,7 @@
 
 // After SIGTERM the platform sends new clients for 0.4 s, and those who are here go on using their
 // connections. SIGKILL comes so long after SIGTERM as the longest deadline, 3 s at the most, and 0.7 s more.
+// All of this is the protocol page's, for every customer; the deadlines are the settings'.
 constexpr std::chrono::milliseconds kNewClients{300}, kKeepAccepting{600}, kLongest{3'000}, kBeforeKill{700};
 // Until then the front serves; so long before it, it takes nothing new, has answered all, and is gone.
 constexpr std::chrono::milliseconds kStopServing{450}, kAnswerBy{200}, kGone{120};
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -11,6 +11,7 @@
 // With a half of it for the first byte of an attempt (core/reducer.cpp) that leaves an eighth.
 constexpr int kMissedPart = 4, kAgainPart = 8;
 constexpr std::chrono::milliseconds kMissed{500}, kAgain{500};  // at the most, and where no rule holds
+// Room for several thousand chunk servers, indented; the largest fleet that the pages name has 200.
 constexpr std::size_t kMostList = 1024 * 1024;
 
 }  // namespace
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -13,6 +13,8 @@
 // of that end, as a call that is left sooner keeps its place there and the next one waits behind it.
 // Where lists are pushed an agent beside this front holds them, and what it has counts as told, watch or no
 // watch: a call anew does not wait, and what lies between two such calls fits into the grace of a drain.
+// The times are the pages', which give no setting for them: a silent watch binds 6 s after it fell silent, or
+// 2 s after its wait, and this one is missed after 1.5 s with every customer.
 struct WatchTiming {
     std::chrono::milliseconds wait{1'000}, patience{500}, patienceAnew{2'500};
 };
--- a/src/net/node_pool.cpp
+++ b/src/net/node_pool.cpp
@@ -8,6 +8,7 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
+// Only frees what has been idle for too long; each connection is looked at before use besides.
 constexpr std::chrono::seconds kSweepEvery{1};
 
 // Quiet and open: an idle connection on which something came, or whose peer closed, is of no more use.
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -12,8 +12,10 @@
 using SteadyClock = std::chrono::steady_clock;
 // For the client to read the last answer and close: while it still sends, as with a body that is too long, a
 // close would reset the connection and could take the answer back. The whole is bounded, and so is silence.
+// Many times a crossing of any network between machines of one place.
 constexpr std::chrono::milliseconds kLingerQuiet{300};
-// Also how late a client's leaving is noticed where nothing is read from it: within 0.3 s it must be.
+// Also how late a client's leaving is noticed where nothing is read from it: within 0.3 s it must be, by the
+// page and so for every customer.
 constexpr std::chrono::milliseconds kTendEvery{200};
 // Read and dropped at a close, at the most: a client that floods is reset.
 constexpr int kMostDropped = 16;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -17,7 +17,7 @@
 namespace wingproxy {
 namespace {
 
-// ---------------------------------------------------------------- constants
+// -------------- constants: of the network and this program, or parts and multiples of what the settings give
 
 // The design's cut of a limit, rounded per host. Where hosts are many a home is still cut in a few: a host
 // with little to send would else keep all of its home for it, and the busy one could borrow nothing.
@@ -982,7 +982,8 @@
         for (auto it = nodeIndex.begin(); it != nodeIndex.end();) {
             Node& n = nodes[std::size_t(it->second)];
             if (n.listed) n.listedAt = now;
-            if (now - n.listedAt < kForget || n.out > 0 || pinned.count(it->second)) { ++it; continue; }
+            const bool lately = now - n.listedAt < std::max(kForget, set.coldSpanUs);
+            if (lately || n.out > 0 || pinned.count(it->second)) { ++it; continue; }
             for (auto& c : cells) std::erase(c.nodes, it->second);
             n = Node();
             unusedNodes.push_back(it->second);
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -479,3 +479,120 @@
     CHECK(endOf(resting, got) == asio::error::eof);
     CHECK(got.starts_with("HTTP/1.1 200 "));
 }
+
+// The platform may kill after the longest deadline, taken as 3 s where it is longer, and 0.7 s. Clients that
+// rest on their connections do not keep the front up beyond that, and none sees a reset.
+TEST_CASE("SIGTERM where deadlines are shorter, or longer, than the platform waits: the exit is in time") {
+    const struct {
+        const char* deadline;
+        milliseconds kill;
+    } cases[] = {{"\"deadlineUs\":200000", milliseconds(200 + 700)},
+                 {"\"deadlineUs\":8000000", milliseconds(3'000 + 700)}};
+    for (const auto& c : cases) {
+        CAPTURE(c.deadline);
+        Platform platform(384,
+                          {{"\"deadlineUs\":1500000", c.deadline}, {"\"deadlineUs\":3000000", c.deadline}});
+        auto& rig = platform.rig;
+        rig.node().greets = [](Wire& wire) { wire.reply = ok("x"); };
+        auto& process = platform.startReady();
+        tcp::socket resting(rig.io);
+        resting.connect(platform.listening.local_endpoint());
+        asio::write(resting, asio::buffer(std::string("GET /up HTTP/1.1\r\n\r\n")));
+        const auto asks = platform.client();
+        platform.serve(asks, id(1));
+        const auto since = std::chrono::steady_clock::now();
+        process.signal(SIGTERM);
+        platform.untilSaid(process, "stopping: 0 requests open");
+        platform.serve(asks, id(2));  // it serves on
+        rig.until([&] { return !process.running(); }, "the exit");
+        CHECK(std::chrono::steady_clock::now() - since < c.kill);
+        CHECK(WIFEXITED(process.status));
+        CHECK(WEXITSTATUS(process.status) == 0);
+        CHECK(process.said("stopped: 1 requests taken since SIGTERM"));
+        std::string got;
+        CHECK(endOf(resting, got) == asio::error::eof);
+        CHECK(got.starts_with("HTTP/1.1 200 "));
+    }
+}
+
+TEST_CASE("a client that is slow to begin has as long for its head as one that began at once") {
+    Rig rig;
+    const auto client = rig.client();
+    const auto since = std::chrono::steady_clock::now();
+    const auto passed = [&](milliseconds span) {  // the client's own pace
+        rig.until([&] { return std::chrono::steady_clock::now() - since > span; });
+    };
+    passed(milliseconds(1'500));
+    client->say("GET /up HT");
+    passed(milliseconds(3'200));
+    CHECK(!client->ended);
+    client->say("TP/1.1\r\n\r\n");
+    rig.until([&] { return client->has("HTTP/1.1 200 "); });
+    CHECK(rig.front.counters().slow == 0);
+}
+
+TEST_CASE(
+    "what the front refuses by itself advises no longer wait than clients honour, and none where none is") {
+    for (const bool advice : {true, false}) {
+        auto config = baseConfig();
+        config.settings.retryAdvice = advice;
+        config.settings.maxRetryAfterUs = 40'000;
+        Rig rig(std::move(config), 1, 1);
+        const auto half = rig.client();
+        half->say("GET /api HTTP/1.1\r\nReq-Id: ");
+        rig.until([&] { return rig.front.door().connections() == 1; });
+        const auto next = rig.client();
+        rig.until([&] { return half->ended; });
+        CHECK(half->has("HTTP/1.1 503 "));
+        CHECK(half->has("Retry-After: 0.040\r\n") == advice);
+        CHECK(half->has("Retry-After") == advice);
+    }
+}
+
+TEST_CASE("discovery moves and the first call there fails: the whole list is asked for again") {
+    for (const bool onRequest : {true, false}) {
+        CAPTURE(onRequest);
+        auto config = baseConfig();
+        config.settings.listOnRequest = onRequest;
+        Rig rig(std::move(config));
+        rig.until([&] {
+            return !rig.discoveryServer.wires.empty() && rig.discoveryServer.wires[0]->has("after=");
+        });
+        StandIn next(rig.io);
+        rig.discovery.move(next.at());
+        rig.until([&] { return next.wires.size() == 1 && next.wires[0]->has("\r\n\r\n"); });
+        next.wires[0]->say(status(503));  // too many callers
+        rig.until([&] { return next.wires.back()->has("GET /discovery/hosts HTTP/1.1\r\n"); });
+        next.wires.back()->drop();
+        rig.until([&] { return rig.discovery.counters().failed == 1; });
+        rig.until([&] { return next.wires.back()->has("GET /discovery/hosts HTTP/1.1\r\n"); }, "asked again");
+        next.wires.back()->say(ok(R"({"generation":7,"reset":true,"instances":[]})"));
+        rig.until([&] { return rig.engine.listVersion() == 7; });
+        CHECK(rig.discoveryServer.wires.size() == 1);
+    }
+}
+
+TEST_CASE("the pool is full: the longest idle connection makes room, and one in use never does") {
+    asio::io_context io;
+    StandIn idle(io), wanted(io);
+    const auto until = [&](const std::function<bool()>& so) {
+        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(15);
+        while (!so() && std::chrono::steady_clock::now() < end) io.run_one_for(milliseconds(50));
+        REQUIRE(so());
+    };
+    net::NodePool pool(io, {2, std::chrono::seconds(1), std::chrono::seconds(15), net::kLeastRing});
+    std::shared_ptr<net::Connection> used, spare, got;
+    bool refused = false;
+    const auto a = pool.acquire(idle.at(), [&](auto c) { used = c; });
+    const auto b = pool.acquire(idle.at(), [&](auto c) { spare = c; });
+    until([&] { return used && spare && idle.wires.size() == 2; });
+    const auto full = pool.acquire(wanted.at(), [&](auto c) { refused = c == nullptr; });
+    until([&] { return refused; });  // as if the node refused: nobody waits for a place
+    pool.release(std::exchange(spare, nullptr));
+    idle.wires[1]->say("HTTP/1.1 2");  // half a line, in the moment of the close
+    const auto c = pool.acquire(wanted.at(), [&](auto taken) { got = taken; });
+    until([&] { return got != nullptr && idle.wires[1]->ended; });
+    CHECK(!idle.wires[0]->ended);
+    CHECK(pool.open() == 2);
+    pool.clear();
+}
--- a/tests/process_support.h
+++ b/tests/process_support.h
@@ -75,7 +75,9 @@
 
 // A platform that upgrades: it holds the clients' socket, and a stand-in node answers by itself.
 struct Platform {
-    explicit Platform(int sockets = 384)
+    // changes: texts of the configuration, and what stands in their place.
+    using Changes = std::vector<std::pair<std::string, std::string>>;
+    explicit Platform(int sockets = 384, const Changes& changes = {})
         : listening(rig.io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)) {
         std::string pattern = (std::filesystem::temp_directory_path() / "wingproxy-XXXXXX").string();
         folder = mkdtemp(pattern.data());
@@ -91,6 +93,7 @@
                 rig.node().at().host, rig.node().at().port));
         put(R"("sockets":1024)", fmt::format(R"("sockets":{})", sockets));
         put(R"("127.0.0.1:0")", fmt::format(R"("127.0.0.1:{}")", listening.local_endpoint().port()));
+        for (const auto& [from, to] : changes) put(from, to);
         std::ofstream(folder / "config.json") << json;
     }
     ~Platform() {
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -200,6 +200,37 @@
     EXPECT_GT(sentToCold(s, Outcome::Ok, true), 3 * free);  // it answers: as much again
 }
 
+// Requests sent to a cold node that answers none, 40 s after it was sent all that it may be; the rule of this
+// customer counts over a longer time. Meanwhile it is off the list, or stays on it.
+std::size_t sentAgainToCold(bool offTheList) {
+    auto s = settings(0, 1);
+    s.coldSpanUs = 90 * kSecond;
+    s.warmAfterUs = 900 * kSecond;
+    Host h(s, kStart);
+    const auto listed = nodes({node("a", 0, NodeState::Ready, kStart)});
+    RequestId id = 0;
+    const auto push = [&] {
+        std::size_t sent = 0;
+        for (int i = 0; i < 40; ++i, h.now += 10 * kMs) {
+            if (only<Send>(h.batch({request(++id, 2, 1, h.now)})).empty()) continue;
+            h.batch({ended(id, 0, "a", Outcome::Cancelled)});  // which says nothing of the node
+            ++sent;
+        }
+        return sent;
+    };
+    h.batch({listed});
+    EXPECT_GT(push(), 0u);
+    h.runTo(h.now + 5 * kSecond);
+    if (offTheList) h.batch({nodes({})});
+    h.runTo(h.now + 40 * kSecond);
+    if (offTheList) h.batch({listed});
+    return push();
+}
+
+TEST(Rules, AColdNodeThatIsListedAgainIsNotForgottenWhileTheRuleCounts) {  // rule 4
+    EXPECT_EQ(sentAgainToCold(true), sentAgainToCold(false));
+}
+
 // A node just started of which a peer has told a wait, and which has answered nothing here, looks like the idlest.
 TEST(Rules, ANewObjectDoesNotWaitAtAColdNodeWhileAWarmOneIsFree) {      // Lc69f0a
     Host h(settings(0, 100), kStart);
