Call what holds a listener's connections the session manager, not the door

Names only: Door is SessionManager, door() and door_ follow, the two checks' makers are httpServer and agentServer. No behaviour changes; all tests of the front pass.

--- a/src/health/health.cpp
+++ b/src/health/health.cpp
@@ -20,8 +20,8 @@
 // The agent's protocol: the server speaks first, one line, and closes.
 class Agent : public net::Session {
 public:
-    Agent(net::Door& door, tcp::socket socket, Ask ask)
-        : Session(door, std::move(socket)), ask_(std::move(ask)) {}
+    Agent(net::SessionManager& sessionManager, tcp::socket socket, Ask ask)
+        : Session(sessionManager, std::move(socket)), ask_(std::move(ask)) {}
     void start() override { send(agentLine(ask_())); }
     bool idle() const override { return false; }
 
@@ -36,8 +36,8 @@
 // One request a connection: checks open a new one each time.
 class Check : public net::Session {
 public:
-    Check(net::Door& door, tcp::socket socket, Ask ask)
-        : Session(door, std::move(socket)), ask_(std::move(ask)) {}
+    Check(net::SessionManager& sessionManager, tcp::socket socket, Ask ask)
+        : Session(sessionManager, std::move(socket)), ask_(std::move(ask)) {}
     bool idle() const override { return !answered_; }
 
 protected:
@@ -60,10 +60,12 @@
 };
 
 template <typename Kind>
-std::unique_ptr<net::Door> doorOf(boost::asio::io_context& io, const config::Endpoint& at, Ask ask) {
-    return std::make_unique<net::Door>(io, at, kMostClients, [ask](net::Door& door, tcp::socket socket) {
-        return std::make_shared<Kind>(door, std::move(socket), ask);
-    });
+std::unique_ptr<net::SessionManager> serverOf(boost::asio::io_context& io, const config::Endpoint& at,
+                                              Ask ask) {
+    return std::make_unique<net::SessionManager>(
+        io, at, kMostClients, [ask](net::SessionManager& sessionManager, tcp::socket socket) {
+            return std::make_shared<Kind>(sessionManager, std::move(socket), ask);
+        });
 }
 
 }  // namespace
@@ -92,11 +94,13 @@
     return response(200, "OK", "ready");
 }
 
-std::unique_ptr<net::Door> agentDoor(boost::asio::io_context& io, const config::Endpoint& at, Ask ask) {
-    return doorOf<Agent>(io, at, std::move(ask));
+std::unique_ptr<net::SessionManager> agentServer(boost::asio::io_context& io, const config::Endpoint& at,
+                                                 Ask ask) {
+    return serverOf<Agent>(io, at, std::move(ask));
 }
-std::unique_ptr<net::Door> httpDoor(boost::asio::io_context& io, const config::Endpoint& at, Ask ask) {
-    return doorOf<Check>(io, at, std::move(ask));
+std::unique_ptr<net::SessionManager> httpServer(boost::asio::io_context& io, const config::Endpoint& at,
+                                                Ask ask) {
+    return serverOf<Check>(io, at, std::move(ask));
 }
 
 }  // namespace wingproxy::health
--- a/src/health/health.h
+++ b/src/health/health.h
@@ -20,7 +20,9 @@
 std::string httpAnswer(std::string_view requestLine, const Report& report);
 
 using Ask = std::function<Report()>;
-std::unique_ptr<net::Door> agentDoor(boost::asio::io_context& io, const config::Endpoint& at, Ask ask);
-std::unique_ptr<net::Door> httpDoor(boost::asio::io_context& io, const config::Endpoint& at, Ask ask);
+std::unique_ptr<net::SessionManager> agentServer(boost::asio::io_context& io, const config::Endpoint& at,
+                                                 Ask ask);
+std::unique_ptr<net::SessionManager> httpServer(boost::asio::io_context& io, const config::Endpoint& at,
+                                                Ask ask);
 
 }  // namespace wingproxy::health
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -26,7 +26,7 @@
 constexpr std::chrono::seconds kFirstBy{2};
 // A head is whole this long after its first byte, and a body brings so many bytes a second beyond that: the
 // slowest clients take 2 s and bring four times as many. What stays truncated, and brings nothing for so
-// long, is ended within 3 s, with the time until the door looks.
+// long, is ended within 3 s, with the time until the session manager looks.
 constexpr std::chrono::milliseconds kHeadBy{2'700};
 constexpr std::size_t kBodyRate = 16 * 1024;
 // A half-sent request that has brought nothing for so long leaves its place to another client.
@@ -59,8 +59,8 @@
 // One client's connection.
 class Front::Client : public net::Session, public Caller {
 public:
-    Client(Front& front, net::Door& door, boost::asio::ip::tcp::socket socket)
-        : Session(door, std::move(socket)), front_(front) {
+    Client(Front& front, net::SessionManager& sessionManager, boost::asio::ip::tcp::socket socket)
+        : Session(sessionManager, std::move(socket)), front_(front) {
         next();
     }
     bool idle() const override { return state_ == State::Reading && (!begun() || quiet() > kHalfSent); }
@@ -108,7 +108,7 @@
     using Clock = std::chrono::steady_clock;
     enum class State { Reading, Waiting, Answering };
     bool over(std::size_t part) const {
-        return front_.answerBy_ == INT64_MAX && door_.connections() * part > door_.most();
+        return front_.answerBy_ == INT64_MAX && sessionManager_.connections() * part > sessionManager_.most();
     }
     bool begun() const { return in_.size() > 0 || reader_->gotSome(); }
     Clock::duration age() const { return Clock::now() - since_; }
@@ -368,7 +368,7 @@
     const bool stuck = n == 0 && in_.space() == 0 && !reader_->done();
     if (error || stuck) {
         // Not from within: the attempt that asks ends with the request.
-        boost::asio::post(door_.io(),
+        boost::asio::post(sessionManager_.io(),
                           [self = std::static_pointer_cast<Client>(shared_from_this())] { self->spoilt(); });
         return 0;
     }
@@ -472,7 +472,7 @@
 }
 
 void Front::keepSomeFree() {
-    const auto open = door_.connections(), free = std::max(open / kFreePart, kLeastFree);
+    const auto open = sessionManager_.connections(), free = std::max(open / kFreePart, kLeastFree);
     if (!lastClients_ || waiting_ + free <= open) return;
     ++counters_.crowded;
     engine_.crowded(1);
@@ -482,10 +482,10 @@
              std::size_t mostClients, std::size_t ring, int inherited)
     : engine_(engine),
       pool_(pool),
-      door_(
+      sessionManager_(
           engine.io(), listen, mostClients,
-          [this](net::Door& door, boost::asio::ip::tcp::socket socket) {
-              return std::make_shared<Client>(*this, door, std::move(socket));
+          [this](net::SessionManager& sessionManager, boost::asio::ip::tcp::socket socket) {
+              return std::make_shared<Client>(*this, sessionManager, std::move(socket));
           },
           ring, inherited) {}
 
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -27,7 +27,7 @@
     // Req-Ids that are open, and those that are open in another process until then.
     std::vector<std::string> openIds() const { return {ids_.begin(), ids_.end()}; }
     void openElsewhere(const std::vector<std::string>& ids, Micros until);
-    net::Door& door() { return door_; }
+    net::SessionManager& sessionManager() { return sessionManager_; }
     const Counters& counters() const { return counters_; }
 
 private:
@@ -43,7 +43,7 @@
     std::unordered_set<std::string> ids_;  // Req-Ids that are open, at a node perhaps
     std::unordered_set<std::string> elsewhere_;
     Micros elsewhereUntil_ = 0;
-    net::Door door_;
+    net::SessionManager sessionManager_;
 };
 
 }  // namespace wingproxy::http
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -95,15 +95,15 @@
         if (extra.rsync) {
             rsync_ = std::make_unique<rsync::Front>(engine_, rsyncPool_, *extra.rsync, budget_.rsyncClients,
                                                     budget_.ring);
-            said("rsync", rsync_->door().at());
+            said("rsync", rsync_->sessionManager().at());
         }
         const auto ask = [this] { return health(); };
-        if (extra.health) said("health", (health_ = health::httpDoor(io_, *extra.health, ask))->at());
+        if (extra.health) said("health", (health_ = health::httpServer(io_, *extra.health, ask))->at());
         if (config.mgmt.port != 0) {
             calls_ = std::make_unique<operation::Calls>(io_, config.mgmt, desk());
-            said("mgmt", calls_->door().at());
+            said("mgmt", calls_->sessionManager().at());
         }
-        if (extra.agent) said("agent", (agent_ = health::agentDoor(io_, *extra.agent, ask))->at());
+        if (extra.agent) said("agent", (agent_ = health::agentServer(io_, *extra.agent, ask))->at());
         awaitSignal();
         if (shared_) {
             succession_ =
@@ -126,7 +126,7 @@
     }
     health::Report health() {
         return {engine_.nodes() > 0, leaving_,
-                double(front_.door().connections()) / double(front_.door().most())};
+                double(front_.sessionManager().connections()) / double(front_.sessionManager().most())};
     }
     // Two processes of one front share its limits for as long as both live.
     static config::Config halved(config::Config config, bool shared) {
@@ -137,9 +137,9 @@
         return Budget(shared_ && two ? sockets / 2 : sockets, halved(config_, shared_).memoryMb, withRsync);
     }
     void allow() {
-        front_.door().allow(budget_.clients);
+        front_.sessionManager().allow(budget_.clients);
         pool_.allow(budget_.nodes);
-        if (rsync_) rsync_->door().allow(budget_.rsyncClients);
+        if (rsync_) rsync_->sessionManager().allow(budget_.rsyncClients);
         rsyncPool_.allow(budget_.rsyncNodes);
     }
     // The right to serve is this process's, at the start or from another one.
@@ -157,11 +157,11 @@
         if (snapshot)
             logger_.info("handover: taken over after {} us, {} nodes, {} requests open there",
                          engine_.now() - snapshot->takenAt, engine_.nodes(), snapshot->openIds.size());
-        if (config_.inherited >= 0) front_.door().open();
-        said(config_.name, front_.door().at());
+        if (config_.inherited >= 0) front_.sessionManager().open();
+        said(config_.name, front_.sessionManager().at());
     }
     void giveUpService() {
-        front_.door().leave();
+        front_.sessionManager().leave();
         front_.drain();  // clients go to the successor with their next request
         peers_.stop();
         auto ids = front_.openIds();
@@ -254,20 +254,21 @@
         const auto since = std::chrono::steady_clock::now() - leavingSince_;
         const bool given = succession_ && succession_->role() == handover::Succession::Role::Leaving;
         if (since >= kNewClients && !given) front_.noMoreClients();
-        const bool alone = front_.door().connections() == 0;
+        const bool alone = front_.sessionManager().connections() == 0;
         if ((since < kKeepAccepting && !given) || (!alone && since < kill_ - kStopServing)) {
             return after(kLookEvery, &Program::serveOn);
         }
         front_.drain();
-        front_.door().closeListener();
-        if (rsync_) rsync_->door().closeListener();
+        front_.sessionManager().closeListener();
+        if (rsync_) rsync_->sessionManager().closeListener();
         after(kLastRequests, &Program::lookWhetherDone);
     }
     // All that was taken is answered first; a connection that only began to ask holds nothing up for long.
     void lookWhetherDone() {
-        front_.door().retireIdle();
-        if (rsync_) rsync_->door().retireIdle();
-        const auto connections = front_.door().held() + (rsync_ ? rsync_->door().held() : 0);
+        front_.sessionManager().retireIdle();
+        if (rsync_) rsync_->sessionManager().retireIdle();
+        const auto connections =
+            front_.sessionManager().held() + (rsync_ ? rsync_->sessionManager().held() : 0);
         const auto since = std::chrono::steady_clock::now() - leavingSince_;
         if (engine_.open() > 0 || (connections > 0 && since < kill_ - kGone)) {
             return after(kLookEvery, &Program::lookWhetherDone);
@@ -278,8 +279,8 @@
         engine_.stop();
         if (succession_) succession_->stop();
         looking_.cancel();
-        front_.door().stop();
-        if (rsync_) rsync_->door().stop();
+        front_.sessionManager().stop();
+        if (rsync_) rsync_->sessionManager().stop();
         discovery_.stop();
         peers_.stop();
         pool_.clear();
@@ -306,23 +307,23 @@
             "moot={} late={} batches={}",
             c.attempts, c.written, c.outcomes[0], c.outcomes[1], c.outcomes[2], c.outcomes[3], c.outcomes[4],
             c.outcomes[5], c.outcomes[6], c.outcomes[7], c.late, c.batches);
-        const auto& door = front_.door();
+        const auto& sessionManager = front_.sessionManager();
         logger_.info(
             "counters http: connections={} open={} requests={} ok={} refused={} failed={} malformed={} "
             "too_large={} "
             "unsupported={} closed_idle={} "
             "silent={} slow={} unread={} repeated={} no_memory={} crowded={} pipelined={} hung_up={}",
-            door.accepted(), door.connections(), f.requests, f.ok, f.refused, f.failed, f.malformed,
-            f.tooLarge, f.unsupported, door.closedIdle(), f.silent, f.slow, f.unread, f.repeated, f.noMemory,
-            f.crowded, f.pipelined, door.hungUp());
+            sessionManager.accepted(), sessionManager.connections(), f.requests, f.ok, f.refused, f.failed,
+            f.malformed, f.tooLarge, f.unsupported, sessionManager.closedIdle(), f.silent, f.slow, f.unread,
+            f.repeated, f.noMemory, f.crowded, f.pipelined, sessionManager.hungUp());
         if (rsync_) {
             const auto& r = rsync_->counters();
             logger_.info(
                 "counters rsync: connections={} open={} transfers={} completed={} refused={} failed={} "
                 "gone={} "
                 "malformed={} listings={}",
-                rsync_->door().accepted(), rsync_->door().connections(), r.transfers, r.completed, r.refused,
-                r.failed, r.gone, r.malformed, r.listings);
+                rsync_->sessionManager().accepted(), rsync_->sessionManager().connections(), r.transfers,
+                r.completed, r.refused, r.failed, r.gone, r.malformed, r.listings);
         }
         logger_.info("counters nodes: connections={} opened={} reused={}", pool_.open(), pool_.opened(),
                      pool_.reused());
@@ -333,8 +334,8 @@
         if (calls_) {
             const auto& o = calls_->counters();
             logger_.info("counters calls: connections={} open={} yes={} no={} malformed={} hung={}",
-                         calls_->door().accepted(), calls_->door().connections(), o.yes, o.no, o.malformed,
-                         o.hung);
+                         calls_->sessionManager().accepted(), calls_->sessionManager().connections(), o.yes,
+                         o.no, o.malformed, o.hung);
         }
         if (succession_) {
             const auto& h = succession_->counters();
@@ -365,7 +366,7 @@
     net::Peers peers_;
     http::Front front_;
     std::unique_ptr<rsync::Front> rsync_;  // these three only where the operator's file has them
-    std::unique_ptr<net::Door> health_, agent_;
+    std::unique_ptr<net::SessionManager> health_, agent_;
     std::unique_ptr<handover::Succession> succession_;  // where the platform holds the listening socket
     std::unique_ptr<operation::Calls> calls_;           // where the configuration has mgmt
     asio::signal_set signals_;
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -22,8 +22,12 @@
 
 }  // namespace
 
-Session::Session(Door& door, tcp::socket socket)
-    : door_(door), socket_(std::move(socket)), in_(door.ring()), out_(door.ring()), linger_(door.io()) {}
+Session::Session(SessionManager& sessionManager, tcp::socket socket)
+    : sessionManager_(sessionManager),
+      socket_(std::move(socket)),
+      in_(sessionManager.ring()),
+      out_(sessionManager.ring()),
+      linger_(sessionManager.io()) {}
 
 // Reads on while an answer is owed as well: that is how a client's leaving is noticed.
 void Session::read() {
@@ -61,7 +65,7 @@
 void Session::endFeed() {
     source_ = nullptr;
     // Not from within: who ends it may be in the middle of something.
-    boost::asio::post(door_.io(), [self = shared_from_this()] { self->write(); });
+    boost::asio::post(sessionManager_.io(), [self = shared_from_this()] { self->write(); });
 }
 
 void Session::write() {
@@ -101,7 +105,7 @@
 void Session::linger(std::chrono::milliseconds most) {
     if (!open_ || lingering_) return;
     lingering_ = true;
-    ++door_.lingering_;
+    ++sessionManager_.lingering_;
     boost::system::error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
     in_.clear();
@@ -129,7 +133,9 @@
     return error ? 0 : bytes;
 }
 
-void Session::touch() { door_.sessions_.splice(door_.sessions_.end(), door_.sessions_, place_); }
+void Session::touch() {
+    sessionManager_.sessions_.splice(sessionManager_.sessions_.end(), sessionManager_.sessions_, place_);
+}
 
 void Session::reset() {
     boost::system::error_code ignored;
@@ -158,12 +164,12 @@
     }
     socket_.close(ignored);
     linger_.cancel();
-    door_.lingering_ -= lingering_;
-    door_.sessions_.erase(place_);  // may be the last but for who calls
+    sessionManager_.lingering_ -= lingering_;
+    sessionManager_.sessions_.erase(place_);  // may be the last but for who calls
 }
 
-Door::Door(boost::asio::io_context& io, const config::Endpoint& at, std::size_t most, Make make,
-           std::size_t ring, int inherited)
+SessionManager::SessionManager(boost::asio::io_context& io, const config::Endpoint& at, std::size_t most,
+                               Make make, std::size_t ring, int inherited)
     : io_(io),
       most_(most),
       ring_(ring),
@@ -182,7 +188,7 @@
     tend();
 }
 
-void Door::tend() {
+void SessionManager::tend() {
     for (auto it = sessions_.begin(); it != sessions_.end();) {
         const auto held = *it++;  // which may close itself, but no other
         if (!held->lingering_) held->tend();
@@ -197,7 +203,7 @@
     });
 }
 
-bool Door::closeOldestIdle() {
+bool SessionManager::closeOldestIdle() {
     std::shared_ptr<Session> first;
     for (const auto& session : sessions_)
         if ((!first || session->givesWay() < first->givesWay()) && session->spare()) first = session;
@@ -207,9 +213,9 @@
     return true;
 }
 
-void Door::closeListener() { listener_.close(); }
+void SessionManager::closeListener() { listener_.close(); }
 
-void Door::retireIdle() {
+void SessionManager::retireIdle() {
     // In the next turn: what was read in this one may not have been looked at yet.
     for (const auto& session : sessions_)
         if (!session->lingering_ && session->idle())
@@ -218,7 +224,7 @@
             });
 }
 
-void Door::stop() {
+void SessionManager::stop() {
     tender_.cancel();
     while (!sessions_.empty()) {
         const auto held = sessions_.front();
--- a/src/net/session.h
+++ b/src/net/session.h
@@ -1,4 +1,4 @@
-// A client's connection, and the door that holds a listener's connections within their budget.
+// A client's connection, and the session manager that holds a listener's connections within their budget.
 #pragma once
 
 #include <functional>
@@ -11,18 +11,19 @@
 
 namespace wingproxy::net {
 
-class Door;
+class SessionManager;
 
-// Owned by its door's list; handlers keep it alive until they have run. What is said on it is the fronts'.
+// Owned by its session manager's list; handlers keep it alive until they have run. What is said on it is the
+// fronts'.
 class Session : public std::enable_shared_from_this<Session> {
 public:
-    Session(Door& door, boost::asio::ip::tcp::socket socket);
+    Session(SessionManager& sessionManager, boost::asio::ip::tcp::socket socket);
     virtual ~Session() = default;
     virtual void start() { read(); }
     virtual bool idle() const = 0;  // nothing is owed to the client: it may be closed
     // Of those that may be closed to make room, the lowest first, and of equals the longest untouched.
     virtual int givesWay() const { return 0; }
-    virtual void tend() {}  // looked at by its door now and then: closes what has waited too long
+    virtual void tend() {}  // looked at by its session manager now and then: closes what has waited too long
     void close();  // at once; what came meanwhile is read and dropped, as unread bytes would reset it
     // At a stop, when nothing is owed: closes without a reset, and what still comes is not served.
     virtual void retire() { linger(); }
@@ -51,13 +52,13 @@
     void reset();                // closes so that the client sees a break
     std::size_t unread() const;  // bytes that wait in the system
 
-    Door& door_;
+    SessionManager& sessionManager_;
     boost::asio::ip::tcp::socket socket_;
     RingBuffer in_, out_;
     bool drained_ = false;  // the last read took all that was there
 
 private:
-    friend class Door;
+    friend class SessionManager;
     void write();
     bool spare() const;  // may make room for another client
     void lingerOn();
@@ -70,11 +71,12 @@
     std::list<std::shared_ptr<Session>>::iterator place_;
 };
 
-class Door {
+class SessionManager {
 public:
-    using Make = std::function<std::shared_ptr<Session>(Door&, boost::asio::ip::tcp::socket)>;
-    Door(boost::asio::io_context& io, const config::Endpoint& at, std::size_t most, Make make,
-         std::size_t ring = kMostRing, int inherited = -1);  // inherited: see Listener; accepts after open()
+    using Make = std::function<std::shared_ptr<Session>(SessionManager&, boost::asio::ip::tcp::socket)>;
+    SessionManager(boost::asio::io_context& io, const config::Endpoint& at, std::size_t most, Make make,
+                   std::size_t ring = kMostRing,
+                   int inherited = -1);  // inherited: see Listener; accepts after open()
     void open() { listener_.open(); }
     void leave() { listener_.leave(); }
     void closeListener();  // first takes the clients that wait
--- a/src/operation/door.cpp
+++ b/src/operation/door.cpp
@@ -25,8 +25,10 @@
 
 class Calls::Caller : public net::Session {
 public:
-    Caller(Calls& calls, net::Door& door, boost::asio::ip::tcp::socket socket)
-        : Session(door, std::move(socket)), calls_(calls), since_(std::chrono::steady_clock::now()) {
+    Caller(Calls& calls, net::SessionManager& sessionManager, boost::asio::ip::tcp::socket socket)
+        : Session(sessionManager, std::move(socket)),
+          calls_(calls),
+          since_(std::chrono::steady_clock::now()) {
         parser_.header_limit(net::headLimit(in_));
         parser_.body_limit(kMostBody);
     }
@@ -76,10 +78,10 @@
 
 Calls::Calls(boost::asio::io_context& io, const config::Endpoint& at, Desk desk)
     : desk_(std::move(desk)),
-      door_(
+      sessionManager_(
           io, at, kMostCallers,
-          [this](net::Door& door, boost::asio::ip::tcp::socket socket) {
-              return std::make_shared<Caller>(*this, door, std::move(socket));
+          [this](net::SessionManager& sessionManager, boost::asio::ip::tcp::socket socket) {
+              return std::make_shared<Caller>(*this, sessionManager, std::move(socket));
           },
           net::kLeastRing) {}
 
--- a/src/operation/door.h
+++ b/src/operation/door.h
@@ -19,14 +19,14 @@
         std::uint64_t yes = 0, no = 0, malformed = 0, hung = 0;  // hung: closed without a whole call
     };
     Calls(boost::asio::io_context& io, const config::Endpoint& at, Desk desk);
-    net::Door& door() { return door_; }
+    net::SessionManager& sessionManager() { return sessionManager_; }
     const Counters& counters() const { return counters_; }
 
 private:
     class Caller;
     Desk desk_;
     Counters counters_;
-    net::Door door_;
+    net::SessionManager sessionManager_;
 };
 
 }  // namespace wingproxy::operation
--- a/src/rsync/front.cpp
+++ b/src/rsync/front.cpp
@@ -15,8 +15,8 @@
 // One client's connection: lines until the arguments are whole, then one transfer, then the end.
 class Front::Peer : public net::Session, public Client {
 public:
-    Peer(Front& front, net::Door& door, boost::asio::ip::tcp::socket socket)
-        : Session(door, std::move(socket)), front_(front), patience_(door.io()) {}
+    Peer(Front& front, net::SessionManager& sessionManager, boost::asio::ip::tcp::socket socket)
+        : Session(sessionManager, std::move(socket)), front_(front), patience_(sessionManager.io()) {}
     void start() override;
     bool idle() const override { return stage_ < Stage::Transfer; }
 
@@ -201,10 +201,10 @@
     : engine_(engine),
       pool_(pool),
       config_(config),
-      door_(
+      sessionManager_(
           engine.io(), config.listen, mostClients,
-          [this](net::Door& door, boost::asio::ip::tcp::socket socket) {
-              return std::make_shared<Peer>(*this, door, std::move(socket));
+          [this](net::SessionManager& sessionManager, boost::asio::ip::tcp::socket socket) {
+              return std::make_shared<Peer>(*this, sessionManager, std::move(socket));
           },
           ring) {}
 
--- a/src/rsync/front.h
+++ b/src/rsync/front.h
@@ -17,7 +17,7 @@
     };
     Front(net::Engine& engine, net::NodePool& pool, const config::RsyncFront& config, std::size_t mostClients,
           std::size_t ring = net::kMostRing);
-    net::Door& door() { return door_; }
+    net::SessionManager& sessionManager() { return sessionManager_; }
     const Counters& counters() const { return counters_; }
 
 private:
@@ -27,7 +27,7 @@
     net::NodePool& pool_;
     config::RsyncFront config_;
     Counters counters_;
-    net::Door door_;
+    net::SessionManager sessionManager_;
 };
 
 }  // namespace wingproxy::rsync
--- a/tests/bodies_test.cpp
+++ b/tests/bodies_test.cpp
@@ -91,7 +91,7 @@
     const auto before = mostMemory();
     // Up: the node counts what it gets.
     tcp::socket up(rig.io), down(rig.io);
-    up.connect(net::tcpEndpoint(rig.front.door().at()));
+    up.connect(net::tcpEndpoint(rig.front.sessionManager().at()));
     const auto uploader = std::make_shared<Pump>(std::move(up));
     const auto head = longPut(fmt::format("Content-Length: {}\r\n", kBytes), "a1a1a1a1a1a1a1a1", 60'000);
     asio::write(uploader->socket, asio::buffer(head));
@@ -110,7 +110,7 @@
     rig.until([&] { return taker != nullptr; });
     uploader->send(kBytes);
     // Down: the same node gives.
-    down.connect(net::tcpEndpoint(rig.front.door().at()));
+    down.connect(net::tcpEndpoint(rig.front.sessionManager().at()));
     const auto reader = std::make_shared<Pump>(std::move(down));
     asio::write(reader->socket, asio::buffer(Ask{.id = "a2a2a2a2a2a2a2a2"}.text()));
     rig.until([&] { return giver != nullptr; });
@@ -195,7 +195,9 @@
         node->say(c.answer.substr(100));
         if (c.answer.find("Content-Length") == std::string::npos &&
             c.answer.find("chunked") == std::string::npos)
-            rig.until([&] { return rig.front.door().connections() == 1 && client->got.size() > 100'000; }),
+            rig.until([&] {
+                return rig.front.sessionManager().connections() == 1 && client->got.size() > 100'000;
+            }),
                 node->socket.shutdown(tcp::socket::shutdown_send);
         rig.until(
             [&] {
@@ -221,7 +223,7 @@
     tcp::socket slow(rig.io);
     slow.open(tcp::v4());
     slow.set_option(asio::socket_base::receive_buffer_size(4096));
-    slow.connect(net::tcpEndpoint(rig.front.door().at()));
+    slow.connect(net::tcpEndpoint(rig.front.sessionManager().at()));
     asio::write(slow, asio::buffer(Ask{}.text()));
     const auto node = rig.nodeHas("Req-Id");
     const auto giver = std::make_shared<Pump>(std::move(node->socket));
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -33,7 +33,7 @@
     std::shared_ptr<tcp::socket> waiting(const std::string& text, std::size_t requests = 1) {
         const auto before = rig.engine.counters().taken;
         const auto socket = std::make_shared<tcp::socket>(rig.io);
-        socket->connect(net::tcpEndpoint(rig.front.door().at()));
+        socket->connect(net::tcpEndpoint(rig.front.sessionManager().at()));
         asio::write(*socket, asio::buffer(text));
         rig.until([&] { return rig.engine.counters().taken == before + requests; }, "the request waits");
         return socket;
@@ -121,7 +121,7 @@
         CHECK(rig.engine.open() == Busy::kPlaces);
         busy.nothingOf(100);
         CHECK(rig.front.counters().pipelined == (c.text == kFlood ? 1 : 0));
-        CHECK(rig.front.door().hungUp() == (c.text == kHalfBody ? 1 : 0));
+        CHECK(rig.front.sessionManager().hungUp() == (c.text == kHalfBody ? 1 : 0));
     }
 }
 
@@ -168,15 +168,15 @@
     "an idle connection that is ended in order: a request that crosses it is not served and meets no reset") {
     Rig rig;
     tcp::socket client(rig.io);
-    client.connect(net::tcpEndpoint(rig.front.door().at()));
-    rig.until([&] { return rig.front.door().connections() == 1; });
-    rig.front.door().retireIdle();
-    rig.until([&] { return rig.front.door().connections() == 0; });
+    client.connect(net::tcpEndpoint(rig.front.sessionManager().at()));
+    rig.until([&] { return rig.front.sessionManager().connections() == 1; });
+    rig.front.sessionManager().retireIdle();
+    rig.until([&] { return rig.front.sessionManager().connections() == 0; });
     asio::write(client, asio::buffer(Ask{}.text()));  // on its way when the front ended its side
     boost::system::error_code broken;                 // a reset would meet the next bytes
     asio::write(client, asio::buffer("y mas", 5), broken);
     CHECK(!broken);
-    rig.until([&] { return rig.front.door().held() == 0; });
+    rig.until([&] { return rig.front.sessionManager().held() == 0; });
     std::string got;
     CHECK(endOf(client, got) == asio::error::eof);
     CHECK(got.empty());
@@ -184,17 +184,17 @@
 }
 
 TEST_CASE("a close over bytes that were not read is an end to the client, not a reset") {
-    const std::function<void(net::Door&)> closes[] = {
-        [](net::Door& door) { door.stop(); },
-        [](net::Door& door) { door.stop(), door.stop(); },
+    const std::function<void(net::SessionManager&)> closes[] = {
+        [](net::SessionManager& sessionManager) { sessionManager.stop(); },
+        [](net::SessionManager& sessionManager) { sessionManager.stop(), sessionManager.stop(); },
     };
     for (const auto& close : closes) {
         Rig rig;
         tcp::socket client(rig.io);
-        client.connect(net::tcpEndpoint(rig.front.door().at()));
-        rig.until([&] { return rig.front.door().connections() == 1; });
+        client.connect(net::tcpEndpoint(rig.front.sessionManager().at()));
+        rig.until([&] { return rig.front.sessionManager().connections() == 1; });
         asio::write(client, asio::buffer(Ask{}.text()));  // in the system, and the loop does not run
-        close(rig.front.door());
+        close(rig.front.sessionManager());
         std::string got;
         CHECK(endOf(client, got) == asio::error::eof);
     }
@@ -204,10 +204,11 @@
     Rig rig;
     const auto half = rig.client();
     asio::write(half->socket, asio::buffer("GET /api HTTP/1.1\r\nReq-Id: ", 26));
-    rig.until([&] { return rig.front.door().connections() == 1; });
+    rig.until([&] { return rig.front.sessionManager().connections() == 1; });
     rig.front.drain();
     rig.until([&] {
-        rig.front.door().retireIdle();  // as the program does, every 20 ms; it is quiet after a while
+        rig.front.sessionManager()
+            .retireIdle();  // as the program does, every 20 ms; it is quiet after a while
         return half->ended;
     });
     CHECK(half->has("HTTP/1.1 503 "));
@@ -219,7 +220,7 @@
     Rig rig(baseConfig(), 1, 1);
     const auto half = rig.client();
     half->say("GET /api HTTP/1.1\r\nReq-Id: ");
-    rig.until([&] { return rig.front.door().connections() == 1; });
+    rig.until([&] { return rig.front.sessionManager().connections() == 1; });
     const auto next = rig.client();
     next->say("GET /up HTTP/1.1\r\n\r\n");
     rig.until([&] { return next->has(" 200 ") && half->ended; });
@@ -540,7 +541,7 @@
         Rig rig(std::move(config), 1, 1);
         const auto half = rig.client();
         half->say("GET /api HTTP/1.1\r\nReq-Id: ");
-        rig.until([&] { return rig.front.door().connections() == 1; });
+        rig.until([&] { return rig.front.sessionManager().connections() == 1; });
         const auto next = rig.client();
         rig.until([&] { return half->ended; });
         CHECK(half->has("HTTP/1.1 503 "));
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -22,7 +22,7 @@
     CHECK(rig.nodeHas("00000000000000b2") == node);  // no second connection, on either side
     node->say(ok("otra"));
     rig.until([&] { return client->has("otra"); });
-    CHECK(rig.front.door().accepted() == 1);
+    CHECK(rig.front.sessionManager().accepted() == 1);
     CHECK(rig.pool.opened() == 1);
 }
 
@@ -143,19 +143,19 @@
     };
     rig.until([&] { return silent->ended && count() >= 1; });
     CHECK(count() < 4);
-    CHECK(rig.front.door().connections() <= 3);
+    CHECK(rig.front.sessionManager().connections() <= 3);
 }
 
 TEST_CASE("in a house more than half full answers end their connections, but not while the front stops") {
     Rig rig(baseConfig(), 1, 4);
     const auto first = rig.client(), second = rig.client(), third = rig.client();
-    rig.until([&] { return rig.front.door().connections() == 3; });
+    rig.until([&] { return rig.front.sessionManager().connections() == 3; });
     first->say("GET /up HTTP/1.1\r\n\r\n");
     rig.until([&] { return first->has(" 200 ") && first->ended; });
     CHECK(first->has("Connection: close\r\n"));
     rig.front.answerBy(rig.engine.now() + 1'000'000);
     const auto fourth = rig.client();
-    rig.until([&] { return rig.front.door().connections() >= 3; });
+    rig.until([&] { return rig.front.sessionManager().connections() >= 3; });
     second->say("GET /up HTTP/1.1\r\n\r\n");
     rig.until([&] { return second->has(" 200 "); });
     CHECK(!second->has("Connection: close\r\n"));
@@ -168,7 +168,7 @@
     Rig rig(std::move(config));
     std::vector<WirePtr> clients;
     for (int i = 0; i < 6; ++i) clients.push_back(rig.client());
-    rig.until([&] { return rig.front.door().connections() == 6; });
+    rig.until([&] { return rig.front.sessionManager().connections() == 6; });
     rig.front.noMoreClients();
     for (int i = 0; i < 4; ++i) {  // the last has no place at the node
         clients[i]->say(Ask{.id = fmt::format("{:016x}", i), .deadlineMs = 30'000}.text());
@@ -187,7 +187,7 @@
     const auto since = std::chrono::steady_clock::now();
     const auto first = rig.client(), second = rig.client();
     first->say("GET "), second->say("GET ");
-    rig.until([&] { return rig.front.door().connections() == 2; });
+    rig.until([&] { return rig.front.sessionManager().connections() == 2; });
     const auto third = rig.client();
     third->say("GET /up HTTP/1.1\r\n\r\n");
     rig.until([&] { return third->has(" 200 "); });
@@ -198,7 +198,7 @@
 TEST_CASE("a client that goes on sending a body that is too long still gets its answer") {
     Rig rig;
     tcp::socket client(rig.io);
-    client.connect(net::tcpEndpoint(rig.front.door().at()));
+    client.connect(net::tcpEndpoint(rig.front.sessionManager().at()));
     const std::string head = "PUT /api HTTP/1.1\r\nContent-Length: 80000000\r\n\r\n", piece(64 * 1024, 'x');
     asio::write(client, asio::buffer(head));
     asio::steady_timer pace(rig.io);
@@ -516,7 +516,7 @@
 TEST_CASE("a full house: an idle connection makes room for a new client") {
     Rig rig(baseConfig(), 1, 2);
     const auto first = rig.client(), second = rig.client();
-    rig.until([&] { return rig.front.door().connections() == 2; });
+    rig.until([&] { return rig.front.sessionManager().connections() == 2; });
     const auto third = rig.client();
     third->say("GET /up HTTP/1.1\r\nHost: x\r\n\r\n");
     rig.until([&] { return third->has("200") && first->ended; });
@@ -528,19 +528,19 @@
     const auto busy = rig.client(), idle = rig.client();
     busy->say(Ask{}.text());
     const auto node = rig.nodeHas("Req-Id");
-    rig.until([&] { return rig.front.door().connections() == 2; });
+    rig.until([&] { return rig.front.sessionManager().connections() == 2; });
     rig.front.drain();
     const auto late = rig.client();  // accepted by the system, not yet by the program
     late->say(Ask{.id = "00000000000000b2"}.text());
-    rig.front.door().closeListener();
+    rig.front.sessionManager().closeListener();
     node->say(ok("hecho"));
     const auto second = rig.nodeHas("00000000000000b2");
     second->say(ok("tambien"));
     rig.until([&] { return busy->has("hecho") && late->has("tambien") && busy->ended; });
-    rig.front.door().retireIdle();
+    rig.front.sessionManager().retireIdle();
     rig.until([&] { return idle->ended; });
     CHECK(busy->has("Connection: close"));
-    rig.until([&] { return rig.front.door().connections() == 0 && rig.engine.open() == 0; });
+    rig.until([&] { return rig.front.sessionManager().connections() == 0 && rig.engine.open() == 0; });
 }
 
 TEST_CASE("discovery: the next watch follows the answer, and bad lists are counted and dropped") {
@@ -646,8 +646,8 @@
     Rig rig;
     health::Report report{true, false, 0.5};
     const auto ask = [&] { return report; };
-    const auto agent = health::agentDoor(rig.io, {"127.0.0.1", 0}, ask);
-    const auto http = health::httpDoor(rig.io, {"127.0.0.1", 0}, ask);
+    const auto agent = health::agentServer(rig.io, {"127.0.0.1", 0}, ask);
+    const auto http = health::httpServer(rig.io, {"127.0.0.1", 0}, ask);
     const auto up = rig.connect(agent->at()), ready = rig.connect(http->at());
     ready->say("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
     rig.until([&] { return up->ended && ready->ended; });
@@ -659,5 +659,6 @@
     rig.until([&] { return drain->ended && not_ready->ended; });
     CHECK(drain->got == "drain\n");
     CHECK(not_ready->has("HTTP/1.1 503 "));
-    for (auto* door : {agent.get(), http.get()}) door->closeListener(), door->stop();
+    for (auto* sessionManager : {agent.get(), http.get()})
+        sessionManager->closeListener(), sessionManager->stop();
 }
--- a/tests/net_support.h
+++ b/tests/net_support.h
@@ -118,8 +118,8 @@
     }
     ~Rig() {
         engine.stop();
-        front.door().closeListener(), front.door().stop();
-        rsync.door().closeListener(), rsync.door().stop();
+        front.sessionManager().closeListener(), front.sessionManager().stop();
+        rsync.sessionManager().closeListener(), rsync.sessionManager().stop();
         discovery.stop(), peers.stop(), pool.clear(), rsyncPool.clear();
     }
     // Runs the loop until it is so; a test that waits in vain fails after this bound and does not hang.
@@ -135,8 +135,8 @@
         wire->start();
         return wire;
     }
-    WirePtr client() { return connect(front.door().at()); }
-    WirePtr rsyncClient() { return connect(rsync.door().at()); }
+    WirePtr client() { return connect(front.sessionManager().at()); }
+    WirePtr rsyncClient() { return connect(rsync.sessionManager().at()); }
     StandIn& node(std::size_t i = 0) { return *nodes.at(i); }
     // The connection on which a node got this text, once it has.
     WirePtr nodeHas(std::string_view text, std::size_t i = 0) {
--- a/tests/operation_test.cpp
+++ b/tests/operation_test.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-// The operators' door beside a front, as main.cpp wires it.
+// The operators' server beside a front, as main.cpp wires it.
 struct Office {
     explicit Office(Rig& rig)
         : rig(rig),
@@ -28,10 +28,10 @@
                      return f;
                  },
                  [&rig](const std::string& node, bool out) { return rig.engine.outByHand(node, out); }}) {}
-    ~Office() { calls.door().closeListener(), calls.door().stop(); }
+    ~Office() { calls.sessionManager().closeListener(), calls.sessionManager().stop(); }
     // The whole answer to one call.
     std::string call(const std::string& text) {
-        const auto caller = rig.connect(calls.door().at());
+        const auto caller = rig.connect(calls.sessionManager().at());
         caller->say(text);
         rig.until([&] { return caller->ended; }, text.c_str());
         return caller->got;
@@ -94,10 +94,10 @@
     Office office(rig);
     std::vector<WirePtr> hanging;
     for (std::size_t i = 0; i < operation::kMostCallers; ++i) {
-        hanging.push_back(rig.connect(office.calls.door().at()));
+        hanging.push_back(rig.connect(office.calls.sessionManager().at()));
         if (i % 2) hanging.back()->say("POST /_chunk-servers/det");
     }
-    rig.until([&] { return office.calls.door().connections() == operation::kMostCallers; });
+    rig.until([&] { return office.calls.sessionManager().connections() == operation::kMostCallers; });
     const auto since = std::chrono::steady_clock::now();
     CHECK(says(office.call("GET /_ready HTTP/1.1\r\n\r\n"), 200));
     CHECK(std::chrono::steady_clock::now() - since < std::chrono::seconds(1));
