Use the field's names for the admin server, its metrics and the hot restart

Names only: Desk is AdminHandler, Calls is AdminServer, Figures is Metrics, Succession is HotRestart, files with them. The line of counters for operators' calls is 'counters admin'.

--- a/src/cli/command.cpp
+++ b/src/cli/command.cpp
@@ -35,7 +35,7 @@
         return Named{sub, kind};
     };
     const Named calls[] = {call("ready", "whether the running front serves", Kind::Ready),
-                           call("vars", "the running front's figures", Kind::Vars),
+                           call("vars", "the running front's metrics", Kind::Vars),
                            call("detach", "leave a chunk server out until it is attached", Kind::Detach),
                            call("attach", "put a chunk server back", Kind::Attach)};
     try {
--- a/src/handover/succession.cpp
+++ b/src/handover/hot_restart.cpp
@@ -1,4 +1,4 @@
-#include "handover/succession.h"
+#include "handover/hot_restart.h"
 
 namespace wingproxy::handover {
 namespace {
@@ -9,7 +9,7 @@
 
 }  // namespace
 
-Succession::Succession(boost::asio::io_context& io, std::string folder, std::string front,
+HotRestart::HotRestart(boost::asio::io_context& io, std::string folder, std::string front,
                        log::Logger& logger)
     : again_(io),
       folder_(std::move(folder)),
@@ -20,9 +20,9 @@
       leaving_(path("leaving")),
       wordsLock_(path("words.lock")) {}
 
-std::string Succession::path(const char* name) const { return folder_ + "/wingproxy." + name; }
+std::string HotRestart::path(const char* name) const { return folder_ + "/wingproxy." + name; }
 
-void Succession::begin(std::function<void(std::optional<Snapshot>)> takeOver) {
+void HotRestart::begin(std::function<void(std::optional<Snapshot>)> takeOver) {
     if (serving_.take()) {
         role_ = Role::First;
         return;
@@ -33,7 +33,7 @@
     tryAgain();
 }
 
-void Succession::tryAgain() {
+void HotRestart::tryAgain() {
     successor_.take();  // where another one waits already, until that has served
     if (!successor_.held() || !serving_.take()) {
         again_.expires_after(kLookEvery);
@@ -61,18 +61,18 @@
     std::exchange(takeOver_, nullptr)(std::move(snapshot));
 }
 
-bool Succession::another() {
+bool HotRestart::another() {
     if (role_ == Role::Successor || role_ == Role::Leaving) return true;
     Lock leaving(path("leaving"));
     return successorWaits() || !leaving.take();
 }
 
-bool Succession::successorWaits() {
+bool HotRestart::successorWaits() {
     Lock successor(path("successor"));
     return !successor.take(true);  // shared: two that look do not take each other for one
 }
 
-void Succession::give(const Snapshot& snapshot) {
+void HotRestart::give(const Snapshot& snapshot) {
     role_ = Role::Leaving;
     if (writeFile(path("snapshot"), encode(snapshot))) {
         ++counters_.given;
@@ -84,12 +84,12 @@
     serving_.release();
 }
 
-void Succession::stop() {
+void HotRestart::stop() {
     again_.cancel();
     takeOver_ = nullptr;
 }
 
-core::Words Succession::exchange(const core::Words& own) {
+core::Words HotRestart::exchange(const core::Words& own) {
     wordsLock_.wait();
     const auto bytes = readFile(path("words"), kMostWords);
     core::Words all = own;
--- a/src/handover/succession.h
+++ b/src/handover/hot_restart.h
@@ -10,7 +10,7 @@
 
 namespace wingproxy::handover {
 
-class Succession {
+class HotRestart {
 public:
     struct Counters {
         std::uint64_t taken = 0, given = 0, refused = 0;  // snapshots
@@ -18,7 +18,7 @@
     };
     enum class Role { First, Successor, Serving, Leaving };
 
-    Succession(boost::asio::io_context& io, std::string folder, std::string front, log::Logger& logger);
+    HotRestart(boost::asio::io_context& io, std::string folder, std::string front, log::Logger& logger);
     // First: no other process serves, and nothing passes on. Else takeOver is called once the right to serve
     // has come, with what the other one left or, where it died, with nothing.
     void begin(std::function<void(std::optional<Snapshot>)> takeOver);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -12,13 +12,13 @@
 #include "config/config.h"
 #include "config/operator.h"
 #include "fleet/arrival.h"
-#include "handover/succession.h"
+#include "handover/hot_restart.h"
 #include "health/health.h"
 #include "http/front.h"
 #include "net/discovery.h"
 #include "net/peers.h"
+#include "operation/admin_server.h"
 #include "operation/ask.h"
-#include "operation/door.h"
 #include "rsync/front.h"
 
 namespace {
@@ -100,19 +100,19 @@
         const auto ask = [this] { return health(); };
         if (extra.health) said("health", (health_ = health::httpServer(io_, *extra.health, ask))->at());
         if (config.mgmt.port != 0) {
-            calls_ = std::make_unique<operation::Calls>(io_, config.mgmt, desk());
-            said("mgmt", calls_->sessionManager().at());
+            admin_ = std::make_unique<operation::AdminServer>(io_, config.mgmt, adminHandler());
+            said("mgmt", admin_->sessionManager().at());
         }
         if (extra.agent) said("agent", (agent_ = health::agentServer(io_, *extra.agent, ask))->at());
         awaitSignal();
         if (shared_) {
-            succession_ =
-                std::make_unique<handover::Succession>(io_, std::getenv("TMPDIR"), config.name, logger);
-            succession_->begin(
+            hotRestart_ =
+                std::make_unique<handover::HotRestart>(io_, std::getenv("TMPDIR"), config.name, logger);
+            hotRestart_->begin(
                 [this](std::optional<handover::Snapshot> snapshot) { serve(std::move(snapshot)); });
             look();
         }
-        if (!succession_ || succession_->role() == handover::Succession::Role::First) serve({});
+        if (!hotRestart_ || hotRestart_->role() == handover::HotRestart::Role::First) serve({});
     }
     void run() {
         io_.run();
@@ -151,7 +151,7 @@
                 logger_.warn(
                     "handover: the module's memory is of other settings; it starts as after a crash");
         }
-        if (succession_) engine_.said(succession_->exchange(engine_.words()));
+        if (hotRestart_) engine_.said(hotRestart_->exchange(engine_.words()));
         peers_.open();
         engine_.start();
         if (snapshot)
@@ -165,19 +165,19 @@
         front_.drain();  // clients go to the successor with their next request
         peers_.stop();
         auto ids = front_.openIds();
-        succession_->give({config_.name, engine_.now(), engine_.handOver(), std::move(ids)});
+        hotRestart_->give({config_.name, engine_.now(), engine_.handOver(), std::move(ids)});
         logger_.info("handover: given to the other process");
     }
     // Whether another process shares the limits; while one does, operators' words pass both ways.
     void look() {
-        const bool two = succession_->another();
+        const bool two = hotRestart_->another();
         if (two != two_) {
             two_ = two;
             budget_ = budget(sockets_, two, rsync_ != nullptr);
             allow();
             logger_.info("handover: {}", two ? "two processes share the limits" : "alone");
         }
-        if (two) engine_.said(succession_->exchange(engine_.words()));
+        if (two) engine_.said(hotRestart_->exchange(engine_.words()));
         looking_.expires_after(kLookForOther);
         looking_.async_wait([this](const boost::system::error_code& stopped) {
             if (!stopped) look();
@@ -188,18 +188,18 @@
         for (const auto& c : config_.settings.classes) longest = std::max(longest, c.deadlineUs);
         return longest;
     }
-    operation::Desk desk() {
+    operation::AdminHandler adminHandler() {
         return {[this] { return !leaving_; },
                 [this] {
-                    operation::Figures figures{
+                    operation::Metrics metrics{
                         {}, engine_.counters(), engine_.open(), engine_.nodes(), engine_.avoided()};
-                    for (const auto& c : engine_.settings().classes) figures.classes.push_back(c.name);
-                    return figures;
+                    for (const auto& c : engine_.settings().classes) metrics.classes.push_back(c.name);
+                    return metrics;
                 },
                 [this](const std::string& node, bool out) {
-                    if (succession_) engine_.said(succession_->exchange(engine_.words()));
+                    if (hotRestart_) engine_.said(hotRestart_->exchange(engine_.words()));
                     const bool known = engine_.outByHand(node, out);
-                    if (succession_) succession_->exchange(engine_.words());
+                    if (hotRestart_) hotRestart_->exchange(engine_.words());
                     logger_.info("by hand: {} {}{}", out ? "detach" : "attach", node,
                                  known ? "" : ", which was never listed");
                     return known;
@@ -240,8 +240,8 @@
                 kBeforeKill;
         takenBefore_ = engine_.counters().taken;
         logger_.info("stopping: {} requests open", engine_.open());
-        if (succession_ && succession_->role() == handover::Succession::Role::Successor) return end();
-        if (succession_ && succession_->successorWaits()) giveUpService();
+        if (hotRestart_ && hotRestart_->role() == handover::HotRestart::Role::Successor) return end();
+        if (hotRestart_ && hotRestart_->successorWaits()) giveUpService();
         else engine_.leaving(engine_.now() + (kill_ - kStopServing).count());
         front_.answerBy(engine_.now() + (kill_ - kAnswerBy).count());
         serveOn();
@@ -252,7 +252,7 @@
     }
     void serveOn() {
         const auto since = std::chrono::steady_clock::now() - leavingSince_;
-        const bool given = succession_ && succession_->role() == handover::Succession::Role::Leaving;
+        const bool given = hotRestart_ && hotRestart_->role() == handover::HotRestart::Role::Leaving;
         if (since >= kNewClients && !given) front_.noMoreClients();
         const bool alone = front_.sessionManager().connections() == 0;
         if ((since < kKeepAccepting && !given) || (!alone && since < kill_ - kStopServing)) {
@@ -277,7 +277,7 @@
     }
     void end() {
         engine_.stop();
-        if (succession_) succession_->stop();
+        if (hotRestart_) hotRestart_->stop();
         looking_.cancel();
         front_.sessionManager().stop();
         if (rsync_) rsync_->sessionManager().stop();
@@ -331,14 +331,14 @@
                      d.failed, d.malformed);
         logger_.info("counters tables: entries={} nodes={} avoided={} out_by_hand={}", engine_.kept(),
                      engine_.nodes(), engine_.avoided(), engine_.outByHand());
-        if (calls_) {
-            const auto& o = calls_->counters();
-            logger_.info("counters calls: connections={} open={} yes={} no={} malformed={} hung={}",
-                         calls_->sessionManager().accepted(), calls_->sessionManager().connections(), o.yes,
+        if (admin_) {
+            const auto& o = admin_->counters();
+            logger_.info("counters admin: connections={} open={} yes={} no={} malformed={} hung={}",
+                         admin_->sessionManager().accepted(), admin_->sessionManager().connections(), o.yes,
                          o.no, o.malformed, o.hung);
         }
-        if (succession_) {
-            const auto& h = succession_->counters();
+        if (hotRestart_) {
+            const auto& h = hotRestart_->counters();
             logger_.info("counters handover: taken={} given={} refused={} words={} unwritten={}", h.taken,
                          h.given, h.refused, h.words, h.unwritten);
         }
@@ -367,8 +367,8 @@
     http::Front front_;
     std::unique_ptr<rsync::Front> rsync_;  // these three only where the operator's file has them
     std::unique_ptr<net::SessionManager> health_, agent_;
-    std::unique_ptr<handover::Succession> succession_;  // where the platform holds the listening socket
-    std::unique_ptr<operation::Calls> calls_;           // where the configuration has mgmt
+    std::unique_ptr<handover::HotRestart> hotRestart_;  // where the platform holds the listening socket
+    std::unique_ptr<operation::AdminServer> admin_;     // where the configuration has mgmt
     asio::signal_set signals_;
     asio::steady_timer closing_, looking_;
     bool leaving_ = false;
--- a/src/operation/door.cpp
+++ b/src/operation/admin_server.cpp
@@ -1,4 +1,4 @@
-#include "operation/door.h"
+#include "operation/admin_server.h"
 
 #include <fmt/format.h>
 
@@ -23,11 +23,11 @@
 
 }  // namespace
 
-class Calls::Caller : public net::Session {
+class AdminServer::Caller : public net::Session {
 public:
-    Caller(Calls& calls, net::SessionManager& sessionManager, boost::asio::ip::tcp::socket socket)
+    Caller(AdminServer& server, net::SessionManager& sessionManager, boost::asio::ip::tcp::socket socket)
         : Session(sessionManager, std::move(socket)),
-          calls_(calls),
+          server_(server),
           since_(std::chrono::steady_clock::now()) {
         parser_.header_limit(net::headLimit(in_));
         parser_.body_limit(kMostBody);
@@ -36,7 +36,7 @@
     void tend() override {
         const auto age = std::chrono::steady_clock::now() - since_;
         if (!open() || age < (answered_ ? kTaken : kWholeBy)) return;
-        if (!answered_) ++calls_.counters_.hung;
+        if (!answered_) ++server_.counters_.hung;
         close();
     }
 
@@ -47,7 +47,7 @@
         while (in_.size() > 0 && !parser_.is_done() && net::step(parser_, in_, error)) {}
         if (error) {
             const bool head = error == http::error::header_limit, body = error == http::error::body_limit;
-            ++calls_.counters_.malformed;
+            ++server_.counters_.malformed;
             return say({head ? 431 : body ? 413 : 400, fmt::format("{}\n", error.message()), ""});
         }
         if (!parser_.is_done()) return;
@@ -55,11 +55,11 @@
         const auto view = [](auto part) { return std::string_view(part.data(), part.size()); };
         auto read = readCall(view(m.method_string()), view(m.target()), m.body());
         if (const auto* wrong = std::get_if<Reply>(&read)) {
-            ++calls_.counters_.malformed;
+            ++server_.counters_.malformed;
             return say(*wrong);
         }
-        const auto reply = answer(std::get<Call>(read), calls_.desk_);
-        ++(reply.status == 200 ? calls_.counters_.yes : calls_.counters_.no);
+        const auto reply = answer(std::get<Call>(read), server_.handler_);
+        ++(reply.status == 200 ? server_.counters_.yes : server_.counters_.no);
         say(reply);
     }
     void sent() override { linger(); }
@@ -70,14 +70,14 @@
         since_ = std::chrono::steady_clock::now();
         send(text(reply));
     }
-    Calls& calls_;
+    AdminServer& server_;
     http::request_parser<http::string_body> parser_;
     std::chrono::steady_clock::time_point since_;  // its connecting, then its answer
     bool answered_ = false;
 };
 
-Calls::Calls(boost::asio::io_context& io, const config::Endpoint& at, Desk desk)
-    : desk_(std::move(desk)),
+AdminServer::AdminServer(boost::asio::io_context& io, const config::Endpoint& at, AdminHandler handler)
+    : handler_(std::move(handler)),
       sessionManager_(
           io, at, kMostCallers,
           [this](net::SessionManager& sessionManager, boost::asio::ip::tcp::socket socket) {
--- a/src/operation/door.h
+++ b/src/operation/admin_server.h
@@ -13,18 +13,18 @@
 // yet makes room, so that callers that hang keep no other from being heard.
 constexpr std::size_t kMostCallers = 24;
 
-class Calls {
+class AdminServer {
 public:
     struct Counters {
         std::uint64_t yes = 0, no = 0, malformed = 0, hung = 0;  // hung: closed without a whole call
     };
-    Calls(boost::asio::io_context& io, const config::Endpoint& at, Desk desk);
+    AdminServer(boost::asio::io_context& io, const config::Endpoint& at, AdminHandler handler);
     net::SessionManager& sessionManager() { return sessionManager_; }
     const Counters& counters() const { return counters_; }
 
 private:
     class Caller;
-    Desk desk_;
+    AdminHandler handler_;
     Counters counters_;
     net::SessionManager sessionManager_;
 };
--- a/src/operation/call.cpp
+++ b/src/operation/call.cpp
@@ -41,7 +41,7 @@
     return Call{known->kind, ofNode ? std::string(node) : std::string()};
 }
 
-std::string vars(const Figures& figures) {
+std::string vars(const Metrics& metrics) {
     nlohmann::json all;
     const std::pair<const char*, std::uint64_t core::Answers::*> kinds[] = {
         {"fulfilled", &core::Answers::delivered},
@@ -49,28 +49,28 @@
         {"faulted", &core::Answers::failed}};
     for (const auto& [name, kind] : kinds) {
         auto& byClass = all[name] = nlohmann::json::object();
-        for (std::size_t i = 0; i < figures.classes.size() && i < figures.counters.byClass.size(); ++i)
-            byClass[figures.classes[i]] = figures.counters.byClass[i].*kind;
+        for (std::size_t i = 0; i < metrics.classes.size() && i < metrics.counters.byClass.size(); ++i)
+            byClass[metrics.classes[i]] = metrics.counters.byClass[i].*kind;
     }
-    all["relayed"] = figures.counters.written;
-    all["open_requests"] = figures.open;
-    all["registry_entries"] = figures.listed;
-    all["out_of_rotation"] = figures.avoided;
+    all["relayed"] = metrics.counters.written;
+    all["open_requests"] = metrics.open;
+    all["registry_entries"] = metrics.listed;
+    all["out_of_rotation"] = metrics.avoided;
     return all.dump() + "\n";
 }
 
-Reply answer(const Call& call, const Desk& desk) {
+Reply answer(const Call& call, const AdminHandler& handler) {
     switch (call.kind) {
         case Call::Kind::Ready:
-            return desk.ready() ? Reply{200, "ready\n", ""} : Reply{503, "not ready\n", ""};
+            return handler.ready() ? Reply{200, "ready\n", ""} : Reply{503, "not ready\n", ""};
         case Call::Kind::Vars:
-            return {200, vars(desk.figures()), "Content-Type: application/json\r\n"};
+            return {200, vars(handler.metrics()), "Content-Type: application/json\r\n"};
         case Call::Kind::Detach:
         case Call::Kind::Attach:
             break;
     }
     const bool out = call.kind == Call::Kind::Detach;
-    if (!desk.outByHand(call.node, out))
+    if (!handler.outByHand(call.node, out))
         return {404, fmt::format("{}: no chunk server of this id was ever listed\n", call.node), ""};
     return {200, fmt::format("{}: {}\n", call.node, out ? "out until it is attached" : "back"), ""};
 }
--- a/src/operation/call.h
+++ b/src/operation/call.h
@@ -27,20 +27,20 @@
 // A call, or why it is none: 400 without a node, 404 for a path that does not exist, 405 for another method.
 std::variant<Call, Reply> readCall(std::string_view method, std::string_view target, std::string_view body);
 
-// What the figures are made of, all of it the reducer's own.
-struct Figures {
+// What the metrics are made of, all of it the reducer's own.
+struct Metrics {
     std::vector<std::string> classes;
     core::Counters counters;
     std::size_t open = 0, listed = 0, avoided = 0;
 };
-std::string vars(const Figures& figures);  // as one JSON object
+std::string vars(const Metrics& metrics);  // as one JSON object
 
 // What the program has to say to a call.
-struct Desk {
+struct AdminHandler {
     std::function<bool()> ready;
-    std::function<Figures()> figures;
+    std::function<Metrics()> metrics;
     std::function<bool(const std::string& node, bool out)> outByHand;  // false: that id was never listed
 };
-Reply answer(const Call& call, const Desk& desk);
+Reply answer(const Call& call, const AdminHandler& handler);
 
 }  // namespace wingproxy::operation
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -2,7 +2,7 @@
 // processes.
 #include <cstring>
 
-#include "handover/succession.h"
+#include "handover/hot_restart.h"
 #include "process_support.h"
 #include "support.h"
 
--- a/tests/operation_test.cpp
+++ b/tests/operation_test.cpp
@@ -1,10 +1,10 @@
-// What operators call: the calls as a table, the figures against what clients and nodes saw, nodes out by
+// What operators call: the calls as a table, the metrics against what clients and nodes saw, nodes out by
 // hand.
 #include <deque>
 #include <nlohmann/json.hpp>
 #include <sstream>
 
-#include "operation/door.h"
+#include "operation/admin_server.h"
 #include "process_support.h"
 
 using namespace wingproxy;
@@ -19,7 +19,7 @@
           calls(rig.io, {"127.0.0.1", 0},
                 {[this] { return ready; },
                  [&rig] {
-                     operation::Figures f{{},
+                     operation::Metrics f{{},
                                           rig.engine.counters(),
                                           rig.engine.open(),
                                           rig.engine.nodes(),
@@ -46,7 +46,7 @@
     }
     Rig& rig;
     bool ready = true;
-    operation::Calls calls;
+    operation::AdminServer calls;
 };
 
 bool says(const std::string& answer, int status) {
@@ -103,7 +103,7 @@
     CHECK(std::chrono::steady_clock::now() - since < std::chrono::seconds(1));
 }
 
-TEST_CASE("the figures are what clients and nodes saw: served, refused, failed, left, tried again") {
+TEST_CASE("the metrics are what clients and nodes saw: served, refused, failed, left, tried again") {
     Rig rig(baseConfig(), 2);
     Office office(rig);
     const auto served = rig.client(), again = rig.client(), left = rig.client(), failed = rig.client();
@@ -162,7 +162,7 @@
 }
 
 // A measurement, not a check: `wingproxy_front_tests --no-skip -tc="measure*"`. docs/bodies.md has its
-// figures.
+// metrics.
 TEST_CASE("measure: processor time of a connection that asks nothing and is turned away" * doctest::skip()) {
     Platform platform(192);
     platform.rig.node().greets = [](Wire& wire) { wire.reply = ok("x"); };
