Say that a client disconnected, and call what operators order admin overrides

Names only: ClientGone is ClientDisconnected, Session::left is disconnected, the counters gone are disconnected in log lines and docs; Words are AdminOverrides, Said is Overridden. Files in TMPDIR keep their names, as two versions may share them.

--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -11,8 +11,9 @@
 constexpr double kGracePart = 0.5;
 // And to a node that is known to drain within this part from when that was read.
 constexpr double kDrainPart = 0.8;
-// A call back is forgotten so long after its node is warm: no older word of another process comes so late.
-constexpr Micros kWordKept = 60'000'000;
+// A call back is forgotten so long after its node is warm: no older override of another process comes so
+// late.
+constexpr Micros kOverrideKept = 60'000'000;
 // While a body is on its way to a node nothing else is waited for; the front ends what brings too little.
 constexpr Micros kLongestBody = 3'600'000'000;
 
@@ -107,10 +108,10 @@
                        true});
 }
 
-void State::take(const ClientGone& in) {
+void State::take(const ClientDisconnected& in) {
     const auto it = requests_.find(in.id);
     if (it == requests_.end() || it->second.done) return;
-    ++counters_.gone;
+    ++counters_.disconnected;
     finish(it->second);
     tell(RequestGone{in.id});
     // What comes from a client or goes to it byte by byte ends with it, and so does what is not whole at its
@@ -129,9 +130,9 @@
 void State::take(const Crowded& in) { tell(wingproxy::Crowded{in.places}); }
 
 NodeInfo State::asTold(NodeInfo listed) const {
-    const auto word = words_.find(listed.id);
-    if (word == words_.end()) return listed;
-    if (!word->second.out) listed.startedUs = std::max(listed.startedUs, word->second.at);
+    const auto entry = overrides_.find(listed.id);
+    if (entry == overrides_.end()) return listed;
+    if (!entry->second.out) listed.startedUs = std::max(listed.startedUs, entry->second.at);
     else if (listed.state == NodeState::Ready) listed.state = NodeState::Draining;
     return listed;
 }
@@ -152,19 +153,19 @@
     }
     for (; seenOrder_.size() > kMostSeen; seenOrder_.pop_front()) seen_.erase(seenOrder_.front());
     std::erase_if(drains_, [&](const auto& node) { return !listed_.contains(node.first); });
-    std::erase_if(words_, [&](const auto& word) {
-        return !word.second.out && now_ - word.second.at > settings_.warmAfterUs + kWordKept;
+    std::erase_if(overrides_, [&](const auto& entry) {
+        return !entry.second.out && now_ - entry.second.at > settings_.warmAfterUs + kOverrideKept;
     });
     tell(in.list);
 }
 
 // To the module a node that is out by hand drains, and one that was called back has just come up: it was
-// restarted meanwhile, and the list may tell that later. Of two words the newer one counts.
-void State::take(const Said& in) {
-    const auto it = words_.find(in.node);
-    const Word before = it == words_.end() ? Word{false, 0} : it->second;
-    if (before.out == in.word.out || in.word.at <= before.at) return;
-    words_.insert_or_assign(in.node, in.word);
+// restarted meanwhile, and the list may tell that later. Of two overrides the newer one counts.
+void State::take(const Overridden& in) {
+    const auto it = overrides_.find(in.node);
+    const AdminOverride before = it == overrides_.end() ? AdminOverride{false, 0} : it->second;
+    if (before.out == in.order.out || in.order.at <= before.at) return;
+    overrides_.insert_or_assign(in.node, in.order);
     const auto node = listed_.find(in.node);
     if (node == listed_.end()) return;  // laid over the list that names it again
     const auto told = asTold(node->second);
@@ -173,8 +174,8 @@
 }
 
 std::size_t State::outByHand() const {
-    return std::size_t(
-        std::count_if(words_.begin(), words_.end(), [](const auto& word) { return word.second.out; }));
+    return std::size_t(std::count_if(overrides_.begin(), overrides_.end(),
+                                     [](const auto& entry) { return entry.second.out; }));
 }
 
 void State::take(Heard in) { tell(PeerMessage{in.from, std::move(in.bytes)}); }
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -47,7 +47,7 @@
     int attempt = 0;
     bool freely = false;  // without a deadline from here on: the node has done its work, only bytes follow
 };                        // its answer began to reach the client
-struct ClientGone {
+struct ClientDisconnected {
     RequestId id = 0;
 };
 struct Leaving {
@@ -59,16 +59,16 @@
 struct News {
     NodeList list;
 };
-// An operator's word on a node: it stands above every list until a newer one.
-struct Word {
+// An operator's override of a node: it stands above every list until a newer one.
+struct AdminOverride {
     bool out = true;
     Micros at = 0;
-    auto operator<=>(const Word&) const = default;
+    auto operator<=>(const AdminOverride&) const = default;
 };
-using Words = std::map<std::string, Word, std::less<>>;  // the newest, by node
-struct Said {
+using AdminOverrides = std::map<std::string, AdminOverride, std::less<>>;  // the newest, by node
+struct Overridden {
     std::string node;
-    Word word;
+    AdminOverride order;
 };
 struct Heard {
     int from = 0;
@@ -82,8 +82,8 @@
 };
 struct Wake {};        // some time of State::nextWake has come
 struct CloseBatch {};  // all that was ready has been put in
-using Input = std::variant<Arrived, Filled, Ended, Written, Answering, Streaming, ClientGone, Leaving,
-                           Crowded, News, Said, Heard, Probed, Wake, CloseBatch>;
+using Input = std::variant<Arrived, Filled, Ended, Written, Answering, Streaming, ClientDisconnected, Leaving,
+                           Crowded, News, Overridden, Heard, Probed, Wake, CloseBatch>;
 
 // ---- effects
 struct StartAttempt {
@@ -136,7 +136,7 @@
     std::uint64_t delivered = 0, refused = 0, failed = 0;
 };
 struct Counters {
-    std::uint64_t taken = 0, gone = 0, overdue = 0, batches = 0;
+    std::uint64_t taken = 0, disconnected = 0, overdue = 0, batches = 0;
     std::uint64_t withdrawn = 0;  // attempts stopped as the client left before they were whole at their node
     std::uint64_t tooLate = 0;    // repeats that were not whole at their node within their class's window
     std::uint64_t attempts = 0, written = 0, late = 0;  // written: whole, to a node
@@ -167,14 +167,14 @@
     // Entries in all tables, the module's too, but for the ids of nodes that are gone: of those it keeps
     // kMostSeen, for an operator's call.
     std::size_t kept() const {
-        return requests_.size() + alarms_.size() + listed_.size() + drains_.size() + words_.size() +
+        return requests_.size() + alarms_.size() + listed_.size() + drains_.size() + overrides_.size() +
                policy_.kept();
     }
     // Listed nodes that it does not use: by hand, draining, or by choice.
     std::size_t avoided() const { return policy_.avoided(); }
     const fleet::Arrival& arrival() const { return policy_.arrival(); }
     bool everListed(const std::string& node) const { return listed_.contains(node) || seen_.contains(node); }
-    const Words& words() const { return words_; }
+    const AdminOverrides& overrides() const { return overrides_; }
     std::size_t outByHand() const;
     static constexpr Micros kNoWake = INT64_MAX;
     static constexpr std::size_t kMostSeen = 4'096;  // the oldest go first
@@ -211,11 +211,11 @@
     void take(const Written& in);
     void take(const Answering& in);
     void take(const Streaming& in);
-    void take(const ClientGone& in);
+    void take(const ClientDisconnected& in);
     void take(const Leaving& in);
     void take(const Crowded& in);
     void take(News in);
-    void take(const Said& in);
+    void take(const Overridden& in);
     void take(Heard in);
     void take(Probed in);
     void take(const Wake&);
@@ -234,7 +234,7 @@
     void stop(Requests::iterator it, int attempt, Outcome how);  // the last of an answered request forgets it
     void answer(RequestId id, std::uint64_t Answers::*kind, Effect effect);  // final, unless there was one
     std::uint64_t& count(const Live& live, std::uint64_t Answers::*kind);
-    NodeInfo asTold(NodeInfo listed) const;  // with the operators' word laid over the list's
+    NodeInfo asTold(NodeInfo listed) const;  // with the operators' override laid over the list's
     void noteDrain(const NodeInfo& told);
     void finish(Live& live);
     void forget(Requests::iterator it);
@@ -249,7 +249,7 @@
     std::map<std::string, NodeInfo, std::less<>> listed_;  // as the list says
     std::set<std::string> seen_;                           // ever listed
     std::deque<std::string> seenOrder_;
-    Words words_;  // who is out by hand, and who was called back: cold from there on
+    AdminOverrides overrides_;  // who is out by hand, and who was called back: cold from there on
     std::map<std::string, Micros, std::less<>> drains_;  // of those that drain: when that was read
     std::multiset<Alarm> alarms_;
     std::vector<Ended> moot_;  // told in the next batch, as the module expects
@@ -263,7 +263,7 @@
 Effects reduce(State& state, Micros now, Input input);
 // The rights pass to a successor; what is open here is finished.
 Handed handOver(State& state, Micros now);
-// Before the first input but operators' words. False: the module refused its part, and the rest is taken.
+// Before the first input but operators' overrides. False: the module refused its part, and the rest is taken.
 bool restore(State& state, const Handed& handed);
 
 }  // namespace wingproxy::core
--- a/src/handover/hot_restart.cpp
+++ b/src/handover/hot_restart.cpp
@@ -5,7 +5,7 @@
 
 // How soon a successor notices that the right to serve is free: well within an aim.
 constexpr std::chrono::milliseconds kLookEvery{5};
-constexpr std::size_t kMostWords = 1024 * 1024;
+constexpr std::size_t kMostOverrides = 1024 * 1024;
 
 }  // namespace
 
@@ -18,7 +18,7 @@
       serving_(path("serving")),
       successor_(path("successor")),
       leaving_(path("leaving")),
-      wordsLock_(path("words.lock")) {}
+      overridesLock_(path("words.lock")) {}
 
 std::string HotRestart::path(const char* name) const { return folder_ + "/wingproxy." + name; }
 
@@ -89,27 +89,28 @@
     takeOver_ = nullptr;
 }
 
-core::Words HotRestart::exchange(const core::Words& own) {
-    wordsLock_.wait();
-    const auto bytes = readFile(path("words"), kMostWords);
-    core::Words all = own;
-    if (bytes && *bytes != lastWords_) {
-        auto read = decodeWords(*bytes);
+core::AdminOverrides HotRestart::exchange(const core::AdminOverrides& own) {
+    overridesLock_.wait();
+    const auto bytes = readFile(path("words"), kMostOverrides);
+    core::AdminOverrides all = own;
+    if (bytes && *bytes != lastOverrides_) {
+        auto read = decodeOverrides(*bytes);
         if (const auto* refused = std::get_if<Refused>(&read)) {
             ++counters_.refused;
-            logger_.warn("handover: operators' words refused, {}", refused->why);
+            logger_.warn("handover: operators' overrides refused, {}", refused->why);
         } else {
-            all = merge(std::move(all), std::get<core::Words>(read));
-            ++counters_.words;
+            all = merge(std::move(all), std::get<core::AdminOverrides>(read));
+            ++counters_.overrides;
         }
     }
-    auto now = encodeWords(all);
+    auto now = encodeOverrides(all);
     if (!all.empty() && (!bytes || now != *bytes) && !writeFile(path("words"), now)) {
         ++counters_.unwritten;
-        logger_.error("handover: operators' words cannot be written; another process would not know them");
+        logger_.error(
+            "handover: operators' overrides cannot be written; another process would not know them");
     }
-    lastWords_ = std::move(now);
-    wordsLock_.release();
+    lastOverrides_ = std::move(now);
+    overridesLock_.release();
     return all;
 }
 
--- a/src/handover/hot_restart.h
+++ b/src/handover/hot_restart.h
@@ -14,7 +14,7 @@
 public:
     struct Counters {
         std::uint64_t taken = 0, given = 0, refused = 0;  // snapshots
-        std::uint64_t words = 0, unwritten = 0;           // files with words that were new; files not written
+        std::uint64_t overrides = 0, unwritten = 0;  // files with overrides that were new; files not written
     };
     enum class Role { First, Successor, Serving, Leaving };
 
@@ -29,8 +29,9 @@
     void give(const Snapshot& snapshot);
     void stop();
 
-    // The words of both processes: those of `own` are added to what the file has, and all of them returned.
-    core::Words exchange(const core::Words& own);
+    // The overrides of both processes: those of `own` are added to what the file has, and all of them
+    // returned.
+    core::AdminOverrides exchange(const core::AdminOverrides& own);
     const Counters& counters() const { return counters_; }
 
 private:
@@ -39,10 +40,10 @@
     boost::asio::steady_timer again_;
     std::string folder_, front_;
     log::Logger& logger_;
-    Lock serving_, successor_, leaving_, wordsLock_;
+    Lock serving_, successor_, leaving_, overridesLock_;
     std::function<void(std::optional<Snapshot>)> takeOver_;
     Role role_ = Role::First;
-    std::string lastWords_;
+    std::string lastOverrides_;
     Counters counters_;
 };
 
--- a/src/handover/place.h
+++ b/src/handover/place.h
@@ -1,5 +1,5 @@
 // The files in the folder that two processes of one front share: locks that die with their holder, the
-// snapshot, and the operators' words. Small files in memory, so the calls wait for no device.
+// snapshot, and the operators' overrides. Small files in memory, so the calls wait for no device.
 #pragma once
 
 #include <optional>
--- a/src/handover/snapshot.cpp
+++ b/src/handover/snapshot.cpp
@@ -24,7 +24,7 @@
 
 namespace core {
 template <typename A>
-void serialize(A& a, Word& w) {
+void serialize(A& a, AdminOverride& w) {
     a(w.out, w.at);
 }
 template <typename A>
@@ -43,7 +43,7 @@
 namespace {
 
 // The head of a file: four letters for its kind and the version of what follows, its length, its CRC-32.
-constexpr char kSnapshot[] = "WPS1", kWords[] = "WPW1";
+constexpr char kSnapshot[] = "WPS1", kOverrides[] = "WPW1";
 constexpr std::size_t kMagic = 4, kHead = kMagic + 8 + 4;
 
 std::uint32_t crc(std::string_view bytes) {
@@ -98,16 +98,16 @@
     return read;
 }
 
-std::string encodeWords(const core::Words& words) { return wrap(kWords, words); }
-std::variant<core::Words, Refused> decodeWords(std::string_view bytes) {
-    return unwrap<core::Words>(kWords, bytes);
+std::string encodeOverrides(const core::AdminOverrides& overrides) { return wrap(kOverrides, overrides); }
+std::variant<core::AdminOverrides, Refused> decodeOverrides(std::string_view bytes) {
+    return unwrap<core::AdminOverrides>(kOverrides, bytes);
 }
 
-core::Words merge(core::Words a, const core::Words& b) {
-    for (const auto& [node, word] : b) {
-        const auto [it, fresh] = a.try_emplace(node, word);
-        if (!fresh && std::pair(word.at, word.out) > std::pair(it->second.at, it->second.out))
-            it->second = word;
+core::AdminOverrides merge(core::AdminOverrides a, const core::AdminOverrides& b) {
+    for (const auto& [node, entry] : b) {
+        const auto [it, fresh] = a.try_emplace(node, entry);
+        if (!fresh && std::pair(entry.at, entry.out) > std::pair(it->second.at, it->second.out))
+            it->second = entry;
     }
     return a;
 }
--- a/src/handover/snapshot.h
+++ b/src/handover/snapshot.h
@@ -27,8 +27,10 @@
 // Magic, version, length and CRC are checked before anything is read: the whole or nothing.
 std::variant<Snapshot, Refused> decode(std::string_view bytes, std::string_view front, Micros now);
 
-std::string encodeWords(const core::Words& words);
-std::variant<core::Words, Refused> decodeWords(std::string_view bytes);
-core::Words merge(core::Words a, const core::Words& b);  // of each node the newer word; the same in any order
+std::string encodeOverrides(const core::AdminOverrides& overrides);
+std::variant<core::AdminOverrides, Refused> decodeOverrides(std::string_view bytes);
+core::AdminOverrides merge(
+    core::AdminOverrides a,
+    const core::AdminOverrides& b);  // of each node the newer one; the same in any order
 
 }  // namespace wingproxy::handover
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -88,9 +88,9 @@
 
 protected:
     void received() override;
-    void left() override {
+    void disconnected() override {
         if (state_ == State::Waiting) --front_.waiting_;
-        if (state_ == State::Waiting || passing_) front_.engine_.gone(id_);
+        if (state_ == State::Waiting || passing_) front_.engine_.clientDisconnected(id_);
     }
     void progressed() override {
         if (state_ == State::Answering) since_ = Clock::now();
@@ -276,13 +276,13 @@
     if (state_ == State::Waiting) {  // what waits is the module's to answer, but for a client that stopped
         if (!filling_ || in_.space() == 0 || quiet() < kAnswerRead) return;
         ++front_.counters_.slow;
-        front_.engine_.gone(id_);
+        front_.engine_.clientDisconnected(id_);
         return answer(408, "", "the body did not go on\n");
     }
     if (state_ == State::Answering) {
         if (age() > kAnswerRead) {
             ++front_.counters_.unread;
-            left(), close();
+            disconnected(), close();
         }
         return;
     }
@@ -406,7 +406,7 @@
     if (!open() || state_ != State::Waiting) return;
     ++front_.counters_.malformed;
     keepAlive_ = false;
-    front_.engine_.gone(id_);
+    front_.engine_.clientDisconnected(id_);
     answer(400, "", "the body cannot be read\n");
 }
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -151,7 +151,7 @@
                 logger_.warn(
                     "handover: the module's memory is of other settings; it starts as after a crash");
         }
-        if (hotRestart_) engine_.said(hotRestart_->exchange(engine_.words()));
+        if (hotRestart_) engine_.overridden(hotRestart_->exchange(engine_.overrides()));
         peers_.open();
         engine_.start();
         if (snapshot)
@@ -168,7 +168,7 @@
         hotRestart_->give({config_.name, engine_.now(), engine_.handOver(), std::move(ids)});
         logger_.info("handover: given to the other process");
     }
-    // Whether another process shares the limits; while one does, operators' words pass both ways.
+    // Whether another process shares the limits; while one does, operators' overrides pass both ways.
     void look() {
         const bool two = hotRestart_->another();
         if (two != two_) {
@@ -177,7 +177,7 @@
             allow();
             logger_.info("handover: {}", two ? "two processes share the limits" : "alone");
         }
-        if (two) engine_.said(hotRestart_->exchange(engine_.words()));
+        if (two) engine_.overridden(hotRestart_->exchange(engine_.overrides()));
         looking_.expires_after(kLookForOther);
         looking_.async_wait([this](const boost::system::error_code& stopped) {
             if (!stopped) look();
@@ -197,9 +197,9 @@
                     return metrics;
                 },
                 [this](const std::string& node, bool out) {
-                    if (hotRestart_) engine_.said(hotRestart_->exchange(engine_.words()));
+                    if (hotRestart_) engine_.overridden(hotRestart_->exchange(engine_.overrides()));
                     const bool known = engine_.outByHand(node, out);
-                    if (hotRestart_) hotRestart_->exchange(engine_.words());
+                    if (hotRestart_) hotRestart_->exchange(engine_.overrides());
                     logger_.info("by hand: {} {}{}", out ? "detach" : "attach", node,
                                  known ? "" : ", which was never listed");
                     return known;
@@ -295,11 +295,12 @@
         const auto& d = discovery_.counters();
         const auto& p = peers_.counters();
         logger_.info(
-            "counters requests: taken={} delivered={} refused={} failed={} gone={} overdue={} open={} "
+            "counters requests: taken={} delivered={} refused={} failed={} disconnected={} overdue={} "
+            "open={} "
             "withdrawn={} "
             "too_late={}",
-            c.taken, answers.delivered, answers.refused, answers.failed, c.gone, c.overdue, engine_.open(),
-            c.withdrawn, c.tooLate);
+            c.taken, answers.delivered, answers.refused, answers.failed, c.disconnected, c.overdue,
+            engine_.open(), c.withdrawn, c.tooLate);
         logger_.info(
             "counters attempts: sent={} written={} ok={} error={} full={} timeout={} connect_failed={} "
             "reset={} "
@@ -320,10 +321,10 @@
             const auto& r = rsync_->counters();
             logger_.info(
                 "counters rsync: connections={} open={} transfers={} completed={} refused={} failed={} "
-                "gone={} "
+                "disconnected={} "
                 "malformed={} listings={}",
                 rsync_->sessionManager().accepted(), rsync_->sessionManager().connections(), r.transfers,
-                r.completed, r.refused, r.failed, r.gone, r.malformed, r.listings);
+                r.completed, r.refused, r.failed, r.disconnected, r.malformed, r.listings);
         }
         logger_.info("counters nodes: connections={} opened={} reused={}", pool_.open(), pool_.opened(),
                      pool_.reused());
@@ -339,8 +340,8 @@
         }
         if (hotRestart_) {
             const auto& h = hotRestart_->counters();
-            logger_.info("counters handover: taken={} given={} refused={} words={} unwritten={}", h.taken,
-                         h.given, h.refused, h.words, h.unwritten);
+            logger_.info("counters handover: taken={} given={} refused={} overrides={} unwritten={}", h.taken,
+                         h.given, h.refused, h.overrides, h.unwritten);
         }
         const auto& a = engine_.arrival();
         constexpr const char* kBy[] = {"nothing", "farewell", "everyone", "lease"};
--- a/src/net/engine.cpp
+++ b/src/net/engine.cpp
@@ -36,9 +36,9 @@
     return id;
 }
 
-void Engine::gone(RequestId id) {
+void Engine::clientDisconnected(RequestId id) {
     finish(id);
-    put(core::ClientGone{id});
+    put(core::ClientDisconnected{id});
 }
 
 void Engine::news(config::HostList hosts) {
@@ -54,12 +54,12 @@
 
 bool Engine::outByHand(const std::string& node, bool out) {
     if (!state_.everListed(node)) return false;
-    put(core::Said{node, {out, clock_.now()}});
+    put(core::Overridden{node, {out, clock_.now()}});
     return true;
 }
 
-void Engine::said(const core::Words& words) {
-    for (const auto& [node, word] : words) put(core::Said{node, word});
+void Engine::overridden(const core::AdminOverrides& overrides) {
+    for (const auto& [node, entry] : overrides) put(core::Overridden{node, entry});
 }
 
 Engine::Handed Engine::handOver() {
--- a/src/net/engine.h
+++ b/src/net/engine.h
@@ -56,7 +56,7 @@
     void stop();   // no more timers; what is open is dropped
 
     RequestId submit(Request request, std::shared_ptr<Transfer> transfer);  // the id is given here
-    void gone(RequestId id);
+    void clientDisconnected(RequestId id);
     void crowded(int places) { put(core::Crowded{places}); }
     void leaving(Micros untilUs) { put(core::Leaving{untilUs}); }
     void written(RequestId id, int attempt) { put(core::Written{id, attempt}); }
@@ -68,10 +68,10 @@
     void filled(RequestId id, Micros deadlineUs) { put(core::Filled{id, deadlineUs}); }
     void ended(core::Ended how) { put(std::move(how)); }
     void news(config::HostList hosts);
-    // An operator's word on a node, which stands above the list; false: the id was never listed.
+    // An operator's override of a node, which stands above the list; false: the id was never listed.
     bool outByHand(const std::string& node, bool out);
-    void said(const core::Words& words);  // by operators, to another process of this front
-    const core::Words& words() const { return state_.words(); }
+    void overridden(const core::AdminOverrides& overrides);  // by operators, to another process of this front
+    const core::AdminOverrides& overrides() const { return state_.overrides(); }
     // What a successor starts from. What is open here is finished.
     struct Handed {
         core::Handed core;
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -38,7 +38,7 @@
         self->reading_ = false;
         if (!self->open_) return;
         if (error) {
-            if (!self->lingering_) self->left();
+            if (!self->lingering_) self->disconnected();
             return self->close();
         }
         self->in_.commit(n);
@@ -96,7 +96,7 @@
                 self->progressed();
                 return self->write();
             }
-            if (!self->lingering_) self->left();
+            if (!self->lingering_) self->disconnected();
             self->close();
         });
 }
@@ -194,7 +194,7 @@
         if (!held->lingering_) held->tend();
         if (held->hungUp()) {
             ++hungUp_;
-            held->left(), held->close();
+            held->disconnected(), held->close();
         }
     }
     tender_.expires_after(kTendEvery);
--- a/src/net/session.h
+++ b/src/net/session.h
@@ -33,11 +33,11 @@
     bool hungUp();
 
 protected:
-    virtual void received() = 0;  // there is more in in_
-    virtual void left() {}        // the client closed, or its connection broke
-    virtual void sent() {}        // all that send() was given is written, and what was fed after it
-    virtual void progressed() {}  // the client took some of it
-    void read();                  // goes on by itself while in_ has room
+    virtual void received() = 0;    // there is more in in_
+    virtual void disconnected() {}  // the client closed, or its connection broke
+    virtual void sent() {}          // all that send() was given is written, and what was fed after it
+    virtual void progressed() {}    // the client took some of it
+    void read();                    // goes on by itself while in_ has room
     void send(std::string text);
     // After what send() was given: more is asked for whenever the ring has room. Where there is none yet,
     // poke() tells of it later; endFeed() when there will be none.
--- a/src/operation/ask.cpp
+++ b/src/operation/ask.cpp
@@ -55,7 +55,7 @@
 
 }  // namespace
 
-Said say(const Call& call) {
+Overridden say(const Call& call) {
     switch (call.kind) {
         case Call::Kind::Ready:
             return {"GET", "/_ready", ""};
--- a/src/operation/ask.h
+++ b/src/operation/ask.h
@@ -20,9 +20,9 @@
 Asked ask(const config::Endpoint& front, const Call& call, std::chrono::milliseconds wait = kAskFor);
 
 // The request line and body of a call: the other direction of readCall.
-struct Said {
+struct Overridden {
     std::string method, target, body;
 };
-Said say(const Call& call);
+Overridden say(const Call& call);
 
 }  // namespace wingproxy::operation
--- a/src/rsync/front.cpp
+++ b/src/rsync/front.cpp
@@ -37,7 +37,7 @@
         if (stage_ < Stage::Transfer) lines();
         else if (more_) more_();
     }
-    void left() override;
+    void disconnected() override;
     void sent() override {
         if (stage_ == Stage::Over) linger();
     }
@@ -179,13 +179,13 @@
     else sayError("the transfer failed");
 }
 
-void Front::Peer::left() {
+void Front::Peer::disconnected() {
     if (stage_ != Stage::Transfer) return;
     stage_ = Stage::Over;
     const auto out = attempt.lock();
     if (out && out->delivered()) return out->clientLeft();  // all is with the client: a transfer completed
-    ++front_.counters_.gone;
-    front_.engine_.gone(id_);  // first, so that the module tries no more
+    ++front_.counters_.disconnected;
+    front_.engine_.clientDisconnected(id_);  // first, so that the module tries no more
     if (out) out->clientLeft();
 }
 
--- a/src/rsync/front.h
+++ b/src/rsync/front.h
@@ -13,7 +13,7 @@
 public:
     struct Counters {
         std::uint64_t transfers = 0, listings = 0, malformed = 0;
-        std::uint64_t completed = 0, refused = 0, failed = 0, gone = 0;
+        std::uint64_t completed = 0, refused = 0, failed = 0, disconnected = 0;
     };
     Front(net::Engine& engine, net::NodePool& pool, const config::RsyncFront& config, std::size_t mostClients,
           std::size_t ring = net::kMostRing);
--- a/tests/bodies_test.cpp
+++ b/tests/bodies_test.cpp
@@ -245,7 +245,7 @@
     // A client that leaves in the middle takes its node's connection along.
     slow.close();
     rig.until([&] { return rig.engine.open() == 0 && rig.pool.open() == 1; });  // the other node's is kept
-    CHECK(rig.engine.counters().gone == 1);
+    CHECK(rig.engine.counters().disconnected == 1);
 }
 
 TEST_CASE("a request whose bytes went to a node that broke off is refused, not tried again") {
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -116,7 +116,7 @@
         const auto since = std::chrono::steady_clock::now();
         if (c.reset) resetNow(*leaver);
         else leaver->close();
-        rig.until([&] { return rig.engine.counters().gone == 1; }, c.what);
+        rig.until([&] { return rig.engine.counters().disconnected == 1; }, c.what);
         CHECK(std::chrono::steady_clock::now() - since < kForgotten);
         CHECK(rig.engine.open() == Busy::kPlaces);
         busy.nothingOf(100);
@@ -139,7 +139,7 @@
         REQUIRE(rig.pool.open() == 1);
         if (reset) client->reset();
         else client->close();
-        rig.until([&] { return rig.engine.counters().gone == 1; });
+        rig.until([&] { return rig.engine.counters().disconnected == 1; });
         CHECK(rig.engine.counters().withdrawn == 1);
         rig.until([&] { return rig.pool.open() == 0; });  // closed, so nothing can be written on it
         CHECK(rig.outcomes(Outcome::Cancelled) == 1);
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -458,7 +458,7 @@
     client->say(Ask{}.text());
     const auto node = rig.nodeHas("Req-Id");
     client->close();
-    rig.until([&] { return rig.engine.counters().gone == 1; });
+    rig.until([&] { return rig.engine.counters().disconnected == 1; });
     CHECK(rig.engine.open() == 0);
     node->say(ok("para nadie"));
     rig.until([&] { return rig.outcomes(Outcome::Ok) == 1; });
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -56,18 +56,18 @@
     CHECK(!Policy(test::settings(1, 3), now).restore(before));
 }
 
-TEST_CASE("operators' words: of each node the newest, in whatever order they are merged") {
-    const core::Words a{{"x", {true, 1}}, {"y", {false, 5}}}, b{{"x", {false, 2}}, {"z", {true, 3}}},
+TEST_CASE("operators' overrides: of each node the newest, in whatever order they are merged") {
+    const core::AdminOverrides a{{"x", {true, 1}}, {"y", {false, 5}}}, b{{"x", {false, 2}}, {"z", {true, 3}}},
         c{{"y", {true, 4}}, {"z", {false, 3}}};
     const auto all = merge(merge(a, b), c);
     CHECK(all == merge(merge(c, b), a));
     CHECK(all == merge(a, merge(b, c)));
     CHECK(all == merge(all, all));
-    CHECK(all == core::Words{{"x", {false, 2}}, {"y", {false, 5}}, {"z", {true, 3}}});
-    const auto bytes = encodeWords(all);
-    CHECK(std::get<core::Words>(decodeWords(bytes)) == all);
+    CHECK(all == core::AdminOverrides{{"x", {false, 2}}, {"y", {false, 5}}, {"z", {true, 3}}});
+    const auto bytes = encodeOverrides(all);
+    CHECK(std::get<core::AdminOverrides>(decodeOverrides(bytes)) == all);
     for (std::size_t n = 0; n < bytes.size(); ++n)
-        CHECK(std::holds_alternative<Refused>(decodeWords(std::string_view(bytes).substr(0, n))));
+        CHECK(std::holds_alternative<Refused>(decodeOverrides(std::string_view(bytes).substr(0, n))));
 }
 
 // Rule 5 over an upgrade: what both processes send together never passes burst, slack and rate, whenever the
--- a/tests/reducer_test.cpp
+++ b/tests/reducer_test.cpp
@@ -108,13 +108,13 @@
     Machine m;
     m.take(1);
     m.put(Written{1, 0});
-    CHECK(of<StopAttempt>(m.put(ClientGone{1})).empty());
+    CHECK(of<StopAttempt>(m.put(ClientDisconnected{1})).empty());
     CHECK(m.state.open() == 0);
-    CHECK(m.state.counters().gone == 1);
+    CHECK(m.state.counters().disconnected == 1);
     CHECK(of<Deliver>(m.put(ended(1, 0, Outcome::Ok))).empty());
     CHECK(m.state.counters().outcomes[std::size_t(Outcome::Ok)] == 1);
-    m.put(ClientGone{1});
-    CHECK(m.state.counters().gone == 1);
+    m.put(ClientDisconnected{1});
+    CHECK(m.state.counters().disconnected == 1);
 }
 
 TEST_CASE("a broken stream is the end: its bytes are with the client") {
@@ -180,8 +180,8 @@
     Machine m;
     CHECK(!m.state.everListed("n9"));
     CHECK(m.state.everListed("n0"));
-    m.put(Said{"n0", {true, m.now}});
-    m.put(Said{"n0", {true, m.now}});
+    m.put(Overridden{"n0", {true, m.now}});
+    m.put(Overridden{"n0", {true, m.now}});
     CHECK(m.state.avoided() == 1);
     const auto list = [&](NodeState state, Micros started) {
         m.put(News{test::nodes({test::node("n0", 0, state, started)}, ListKind::Delta)});
@@ -194,7 +194,7 @@
     m.put(News{test::nodes({test::node("n0", 0, NodeState::Ready, m.now), test::node("n1", 1)})});
     CHECK(m.state.avoided() == 1);
     CHECK(of<StartAttempt>(m.take(1)).empty());
-    m.put(Said{"n0", {false, m.now}});
+    m.put(Overridden{"n0", {false, m.now}});
     CHECK(m.state.avoided() == 0);
     CHECK(of<StartAttempt>(m.take(2)).size() == 1);
     // Back by hand, it starts as a node that just came up: no more than the rule's units at once.
--- a/tests/rsync_test.cpp
+++ b/tests/rsync_test.cpp
@@ -221,7 +221,7 @@
     const auto node = t.accept();
     t.client->close();
     rig.until([&] { return node->ended; });
-    CHECK(rig.rsync.counters().gone == 1);
+    CHECK(rig.rsync.counters().disconnected == 1);
     CHECK(rig.engine.open() == 0);
     CHECK(rig.node().wires.size() == 1);
 }
