Call what a leaving front tells its holders a shutdown notice

Names only, in code, docs and the line of counters ('clear_by=shutdown_notice', 'shutdown_notices'). The datagrams are the same.

--- a/src/fleet/arrival.cpp
+++ b/src/fleet/arrival.cpp
@@ -8,14 +8,19 @@
 
 // Format, life of the sender, tag, and the tag's fields; numbers of four bytes, the lowest first.
 constexpr char kFormat = char(0xB1);
-enum Tag : std::uint8_t { kHello = 1, kWelcome, kFarewell, kWelcomeAfter };  // After: with a farewell
-constexpr std::size_t kFields[] = {0, 0, 1, 2, 4};                           // by tag
+enum Tag : std::uint8_t {
+    kHello = 1,
+    kWelcome,
+    kShutdownNotice,
+    kWelcomeAfter
+};                                                  // After: with a shutdown notice
+constexpr std::size_t kFields[] = {0, 0, 1, 2, 4};  // by tag
 constexpr Micros kLongAgo = -1'000'000'000'000'000;
 
 struct Datagram {
     std::uint32_t life = 0;
     Tag tag = kHello;
-    std::uint32_t fields[4]{};  // WelcomeAfter: to, life, sentMs, overMs; Farewell: sentMs, overMs
+    std::uint32_t fields[4]{};  // WelcomeAfter: to, life, sentMs, overMs; ShutdownNotice: sentMs, overMs
 };
 
 void put(std::string& to, std::uint32_t value) {
@@ -59,7 +64,7 @@
       clearAt_(terms.hosts > 1 ? startedAt + terms.lease : startedAt),
       lastHello_(kLongAgo),
       lastToAll_(kLongAgo),
-      lastFarewell_(kLongAgo),
+      lastNotice_(kLongAgo),
       life_(msOf(startedAt) | 1u),  // never 0
       askAll_(terms.hosts <= kFew),
       by_(terms.hosts > 1 ? By::Lease : By::Everyone) {}
@@ -76,7 +81,7 @@
 }
 
 bool Arrival::holdersKnow(Micros now) const {
-    if (now - startedAt_ >= kFarewellKept) return true;
+    if (now - startedAt_ >= kNoticeKept) return true;
     const auto all = holders();
     return std::all_of(all.begin(), all.end(), [&](int h) { return welcomedBy_.contains(h); });
 }
@@ -102,9 +107,9 @@
     peer.at = now;
     const bool anew = peer.life != life;
     peer.life = life;
-    if (const auto f = farewells_.find(from); f != farewells_.end() && f->second.life != life) {
+    if (const auto f = notices_.find(from); f != notices_.end() && f->second.life != life) {
         if (f->second.next == 0) f->second.next = life;
-        else if (f->second.next != life) farewells_.erase(f);  // of a life before the last: it says nothing
+        else if (f->second.next != life) notices_.erase(f);  // of a life before the last: it says nothing
     }
     if (!anew) return Life::Known;
     ++counters_.lives;
@@ -123,17 +128,17 @@
     if (heard.life == Life::Stale) return heard;
     if (d->tag == kHello) {
         Datagram welcome{life_, kWelcome, {d->life, 0, 0, 0}};
-        if (const auto f = farewells_.find(from); f != farewells_.end() && f->second.life != d->life)
+        if (const auto f = notices_.find(from); f != notices_.end() && f->second.life != d->life)
             welcome.tag = kWelcomeAfter, welcome.fields[1] = f->second.life,
             welcome.fields[2] = f->second.sentMs, welcome.fields[3] = f->second.overMs;
         heard.replies.push_back({from, write(welcome)});
         // It has just come up, and may have missed the hello to it. Once for each of its lives.
         if (first && !welcomedBy_.contains(from) && (!clear(now) || !holdersKnow(now)))
             heard.replies.push_back({from, write({life_, kHello, {}})});
-    } else if (d->tag == kFarewell) {
-        auto& f = farewells_[from];
+    } else if (d->tag == kShutdownNotice) {
+        auto& f = notices_[from];
         if (f.life != d->life || before(f.sentMs, d->fields[0])) {
-            if (f.life != d->life) ++counters_.farewells;
+            if (f.life != d->life) ++counters_.notices;
             f = {d->life, d->fields[0], d->fields[1], 0};
         }
     } else if (d->fields[0] == life_) {  // a welcome to this life
@@ -143,8 +148,8 @@
         const bool holder = std::find(held.begin(), held.end(), from) != held.end();
         const auto [to, life, sentMs, overMs] = d->fields;
         const auto age = std::int32_t(msOf(now) - sentMs), left = std::int32_t(overMs - msOf(now));
-        if (life != 0 && age >= 0 && Micros(age) * 1000 < kFarewellKept)
-            clearBy(By::Farewell, now + std::max(0, left) * Micros(1000));
+        if (life != 0 && age >= 0 && Micros(age) * 1000 < kNoticeKept)
+            clearBy(By::ShutdownNotice, now + std::max(0, left) * Micros(1000));
         else if (holder) askAll_ = true;  // it knows of none: they are all asked
     }
     return heard;
@@ -154,16 +159,17 @@
     std::vector<Message> out;
     if (!terms_.talks || terms_.hosts < 2) return out;
     if (leavingUntil_ != 0) {
-        if (now - lastFarewell_ < kHelloGap) return out;
-        lastFarewell_ = now;
+        if (now - lastNotice_ < kHelloGap) return out;
+        lastNotice_ = now;
         const auto over = std::max(leavingUntil_, clearAt_);
         for (const int h : holders())
-            out.push_back({h, write({life_, kFarewell, {msOf(now), msOf(over) + 1}})});
+            out.push_back({h, write({life_, kShutdownNotice, {msOf(now), msOf(over) + 1}})});
         return out;
     }
     // All, where no holder can help; holders until they know of this life, as no later one may go by an older
-    // farewell.
-    const bool anyone = !clear(now) && by_ != By::Farewell && (askAll_ || now - startedAt_ >= kHoldersFirst);
+    // shutdown notice.
+    const bool anyone =
+        !clear(now) && by_ != By::ShutdownNotice && (askAll_ || now - startedAt_ >= kHoldersFirst);
     const bool toAll = anyone && now - lastToAll_ >= kHelloGap;
     const bool toHolders = !holdersKnow(now) && now - lastHello_ >= kHelloGap;
     if (!toAll && !toHolders) return out;  // as at nearly every look
--- a/src/fleet/arrival.h
+++ b/src/fleet/arrival.h
@@ -3,8 +3,9 @@
 //
 // A host lends chunks of its limits for short leases and, started anew, knows nothing of the loans of its
 // earlier life. It is clear of them when all peers have said that they hold none, when a lease has passed
-// since its start, or when the time is over that its earlier life named in a farewell. A farewell is told
-// while a host leaves in order, to a few peers that keep it: its holders. docs/fleet.md has the proof.
+// since its start, or when the time is over that its earlier life named in a shutdown notice. A shutdown
+// notice is told while a host leaves in order, to a few peers that keep it: its holders. docs/fleet.md has
+// the proof.
 #pragma once
 
 #include <cstdint>
@@ -24,10 +25,10 @@
 
 class Arrival {
 public:
-    // Until a farewell is this old a new life may go by it; so long a host whose holders have not answered
-    // lends nothing, as a later life might go by a farewell from before it.
-    static constexpr Micros kFarewellKept = 10'000'000;
-    static constexpr Micros kHelloGap = 500'000;     // between two hellos, or farewells, to the same host
+    // Until a shutdown notice is this old a new life may go by it; so long a host whose holders have not
+    // answered lends nothing, as a later life might go by a shutdown notice from before it.
+    static constexpr Micros kNoticeKept = 10'000'000;
+    static constexpr Micros kHelloGap = 500'000;  // between two hellos, or shutdown notices, to the same host
     static constexpr Micros kHoldersFirst = 50'000;  // then all are asked: a crossing of the network and more
     static constexpr int kFew = 8;                   // of so many hosts all are asked at once
     static constexpr Micros kStaleFor = 10'000'000;  // a life before the newest is not believed for so long
@@ -41,10 +42,10 @@
     struct Counters {
         std::uint64_t stale = 0, malformed = 0;  // datagrams that changed nothing
         std::uint64_t lives = 0;                 // of peers that began anew
-        std::uint64_t farewells = 0;             // kept here for others
+        std::uint64_t notices = 0;               // kept here for others
     };
     enum class Life { Known, Fresh, Stale };
-    enum class By { Nothing, Farewell, Everyone, Lease };  // what made it clear
+    enum class By { Nothing, ShutdownNotice, Everyone, Lease };  // what made it clear
 
     Arrival() = default;
     Arrival(const Terms& terms, Micros startedAt);
@@ -59,7 +60,7 @@
     };
     Heard heard(int from, const std::string& bytes, Micros now);
     Life met(int from, std::uint32_t life, Micros now);  // in whatever it says
-    std::vector<Message> due(Micros now);  // hellos and farewells; to be asked a few times a second
+    std::vector<Message> due(Micros now);  // hellos and shutdown notices; to be asked a few times a second
 
     bool clear(Micros now) const { return now >= clearAt_; }  // may spend all of its own chunks
     bool lends(Micros now) const;                             // may lend them for a whole lease
@@ -70,13 +71,13 @@
         leavingUntil_ = until > now + terms_.lease ? until : now + terms_.lease;
     }
     const Counters& counters() const { return counters_; }
-    std::size_t kept() const { return peers_.size() + farewells_.size(); }
+    std::size_t kept() const { return peers_.size() + notices_.size(); }
     std::vector<int> holders() const;  // three at the most, spread over the numbers
 
     template <typename Archive>
     void serialize(Archive& a) {
         a(terms_.host, terms_.hosts, terms_.lease, terms_.talks, startedAt_, clearAt_, lastHello_, lastToAll_,
-          lastFarewell_, leavingUntil_, life_, askAll_, by_, peers_, welcomedBy_, farewells_);
+          lastNotice_, leavingUntil_, life_, askAll_, by_, peers_, welcomedBy_, notices_);
     }
 
 private:
@@ -88,7 +89,7 @@
             a(life, at);
         }
     };
-    struct Farewell {
+    struct ShutdownNotice {
         std::uint32_t life = 0, sentMs = 0, overMs = 0;  // of the leaving host's clock
         std::uint32_t next = 0;                          // the life that followed it, once it is met
         template <typename Archive>
@@ -97,16 +98,17 @@
         }
     };
     void clearBy(By by, Micros at);
-    bool holdersKnow(Micros now) const;  // of this life, all of them; or no farewell from before it counts
+    bool holdersKnow(
+        Micros now) const;  // of this life, all of them; or no shutdown notice from before it counts
 
     Terms terms_;
-    Micros startedAt_ = 0, clearAt_ = 0, lastHello_ = 0, lastToAll_ = 0, lastFarewell_ = 0, leavingUntil_ = 0;
+    Micros startedAt_ = 0, clearAt_ = 0, lastHello_ = 0, lastToAll_ = 0, lastNotice_ = 0, leavingUntil_ = 0;
     std::uint32_t life_ = 0;
-    bool askAll_ = false;  // a holder knows of no farewell
+    bool askAll_ = false;  // a holder knows of no shutdown notice
     By by_ = By::Nothing;
     std::map<int, Peer> peers_;
-    std::set<int> welcomedBy_;           // they hold nothing of earlier lives
-    std::map<int, Farewell> farewells_;  // by the host that left
+    std::set<int> welcomedBy_;               // they hold nothing of earlier lives
+    std::map<int, ShutdownNotice> notices_;  // by the host that left
     Counters counters_;
 };
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -344,10 +344,11 @@
                          h.given, h.refused, h.overrides, h.unwritten);
         }
         const auto& a = engine_.arrival();
-        constexpr const char* kBy[] = {"nothing", "farewell", "everyone", "lease"};
-        logger_.info("counters fleet: clear_by={} lends={} lives={} farewells={} stale={} malformed={}",
-                     a.clear(engine_.now()) ? kBy[int(a.by())] : "nothing", a.lends(engine_.now()),
-                     a.counters().lives, a.counters().farewells, a.counters().stale, a.counters().malformed);
+        constexpr const char* kBy[] = {"nothing", "shutdown_notice", "everyone", "lease"};
+        logger_.info(
+            "counters fleet: clear_by={} lends={} lives={} shutdown_notices={} stale={} malformed={}",
+            a.clear(engine_.now()) ? kBy[int(a.by())] : "nothing", a.lends(engine_.now()), a.counters().lives,
+            a.counters().notices, a.counters().stale, a.counters().malformed);
         logger_.info("counters reloads: done={} bad={}", reloads_, badReloads_);
         logger_.info("counters peers: sent={} received={} unsent={} unknown={} oversize={}", p.sent,
                      p.received, p.unsent, p.unknown, p.oversize);
--- a/tests/arrival_test.cpp
+++ b/tests/arrival_test.cpp
@@ -70,8 +70,8 @@
     auto& leaver = fleet.hosts[7];
     leaver.leaving(fleet.now + 3 * kSecond, fleet.now);
     CHECK(leaver.lends(fleet.now));
-    const auto farewells = fleet.run(1'100 * kMs);
-    CHECK(farewells == 9);            // to three, every 0.5 s
+    const auto notices = fleet.run(1'100 * kMs);
+    CHECK(notices == 9);            // to three, every 0.5 s
     CHECK(!leaver.lends(fleet.now));  // a lease would outlast it
     fleet.run(2 * kSecond);
     fleet.restart(7);
@@ -79,12 +79,12 @@
     CHECK(fleet.settle() == 6);  // hellos and welcomes
     CHECK(fleet.hosts[7].clear(fleet.now));
     CHECK(fleet.hosts[7].lends(fleet.now));
-    CHECK(fleet.hosts[7].by() == Arrival::By::Farewell);
+    CHECK(fleet.hosts[7].by() == Arrival::By::ShutdownNotice);
     CHECK(fleet.run(20 * kSecond) == 0);
     CHECK(fleet.largest <= Arrival::kMostBytes);
 }
 
-TEST_CASE("a host that started again before its farewell's time waits for that, and no longer than a lease") {
+TEST_CASE("a host that started again before its shutdown notice's time waits for that, and no longer than a lease") {
     for (const Micros until : {500 * kMs, 9 * kSecond}) {
         Joined fleet(40);
         fleet.run(kSecond);
@@ -117,16 +117,16 @@
     fleet.run(200 * kMs);
     CHECK(fleet.hosts[5].clear(fleet.now));
     CHECK(!fleet.hosts[5].lends(fleet.now));
-    fleet.restart(holders[1]);  // it knows of no farewell, and so can mislead no later life
+    fleet.restart(holders[1]);  // it knows of no shutdown notice, and so can mislead no later life
     fleet.run(600 * kMs);
     CHECK(fleet.hosts[5].lends(fleet.now));
     fleet.dead = {holders[2]};
     fleet.restart(5);
-    fleet.run(Arrival::kFarewellKept + 10 * kMs);
-    CHECK(fleet.hosts[5].lends(fleet.now));  // no farewell from before it counts any more
+    fleet.run(Arrival::kNoticeKept + 10 * kMs);
+    CHECK(fleet.hosts[5].lends(fleet.now));  // no shutdown notice from before it counts any more
 }
 
-TEST_CASE("a farewell is of the life before: not after a crash in between, not when it is old") {
+TEST_CASE("a shutdown notice is of the life before: not after a crash in between, not when it is old") {
     Joined fleet(3);
     fleet.run(kSecond);
     fleet.hosts[0].leaving(fleet.now, fleet.now);
@@ -134,7 +134,7 @@
     fleet.now += kLease + kSecond;
     fleet.restart(0);
     fleet.settle();
-    CHECK(fleet.hosts[0].by() == Arrival::By::Farewell);
+    CHECK(fleet.hosts[0].by() == Arrival::By::ShutdownNotice);
     fleet.now += kSecond;
     fleet.dead = {2};  // only one holder answers: all others are not everyone
     fleet.restart(0);
@@ -144,7 +144,7 @@
     fleet.restart(0), fleet.run(100 * kMs);
     fleet.hosts[0].leaving(fleet.now, fleet.now);
     fleet.settle();
-    fleet.now += Arrival::kFarewellKept;
+    fleet.now += Arrival::kNoticeKept;
     fleet.dead = {2};
     fleet.restart(0);
     fleet.settle();
--- a/tests/fleet_process_test.cpp
+++ b/tests/fleet_process_test.cpp
@@ -30,10 +30,10 @@
 
 }  // namespace
 
-// Guards the farewell on real sockets: without it the front would wait for its lease, as front 3, which died
+// Guards the shutdown notice on real sockets: without it the front would wait for its lease, as front 3, which died
 // and knows of no front 0 before it, never answers.
 TEST_CASE(
-    "processes: a front that left in order is clear by its farewell, though a peer is dead and links lose "
+    "processes: a front that left in order is clear by its shutdown notice, though a peer is dead and links lose "
     "30%") {
     Fleet fleet(4, 5);
     fleet.relay->all(kBad);
@@ -50,10 +50,10 @@
     CHECK(fleet.fronts[0]->status == 0);
     const auto asked = std::chrono::steady_clock::now();
     fleet.start(0);
-    fleet.untilFleetSays(0, "clear_by=farewell");
+    fleet.untilFleetSays(0, "clear_by=shutdown_notice");
     CHECK(std::chrono::steady_clock::now() - asked < std::chrono::seconds(10));
     CHECK(
-        !fleet.fronts[0]->said("lends=true"));  // not before front 3, which keeps farewells too, knows of it
+        !fleet.fronts[0]->said("lends=true"));  // not before front 3, which keeps shutdown notices too, knows of it
     fleet.start(3);
     askUntil(
         fleet, [&] { return fleet.says(0, "lends=true"); }, "it lends again");
@@ -77,7 +77,7 @@
         fleet.start(0);
         askUntil(
             fleet, [&] { return fleet.says(0, "clear_by=lease"); }, "the lease is over");
-        CHECK(!fleet.fronts[0]->said("clear_by=farewell"));
+        CHECK(!fleet.fronts[0]->said("clear_by=shutdown_notice"));
         CHECK(!fleet.fronts[0]->said("lends=true"));
     }
     const auto before = fleet.served;
--- a/tests/lease_test.cpp
+++ b/tests/lease_test.cpp
@@ -184,9 +184,9 @@
 }
 
 // Rule 5 over every way in which a host ends: told before and served on for a while, told and killed at once, or not
-// told; messages lost, and late by up to 2 s, farewells among them. Host 0 has borrowed all there is and keeps the
+// told; messages lost, and late by up to 2 s, shutdown notices among them. Host 0 has borrowed all there is and keeps the
 // store near its end, so that a chunk in two hands shows: with a host that is clear at once the store is overdrawn.
-TEST(Leases, TheSumKeepsTheLimitThroughFarewellsAndDeaths) {
+TEST(Leases, TheSumKeepsTheLimitThroughShutdownNoticesAndDeaths) {
     std::map<fleet::Arrival::By, int> by;
     for (std::uint64_t seed = 1; seed <= 120; ++seed) {
         Fleet f(3, seed);
@@ -209,7 +209,7 @@
         ++by[f.hosts[who]->policy.arrival().by()];
         EXPECT_GE(f.lowest, 0) << "seed " << seed;
     }
-    EXPECT_GT(by[fleet::Arrival::By::Farewell], 10);
+    EXPECT_GT(by[fleet::Arrival::By::ShutdownNotice], 10);
     EXPECT_GT(by[fleet::Arrival::By::Everyone], 5);
     EXPECT_GT(by[fleet::Arrival::By::Lease], 5);
 }
--- a/tests/reducer_test.cpp
+++ b/tests/reducer_test.cpp
@@ -241,7 +241,7 @@
         list.push_back(test::node(std::string("n").append(std::to_string(i)), i));
     put(News{test::nodes(list)});
     runTo(now + 11'000 * kMs);
-    // Hellos to silent peers, every 0.5 s: to all for 2 s, to the three holders of a farewell for 10 s.
+    // Hellos to silent peers, every 0.5 s: to all for 2 s, to the three holders of a shutdown notice for 10 s.
     CHECK(told <= 4 * (kHosts - 1) + 3 * 21);
     told = bytes = 0;
     CHECK(runTo(now + 1'000 * kMs) <= 101);  // one turn a tick, however many nodes there are
