--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -354,11 +354,7 @@
         CAPTURE(twice);
         asio::io_context io;
         StandIn node(io);
-        const auto until = [&](const std::function<bool()>& so) {
-            const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(15);
-            while (!so() && std::chrono::steady_clock::now() < end) io.run_one_for(milliseconds(50));
-            REQUIRE(so());
-        };
+        const auto until = [&](const std::function<bool()>& so) { runUntil(io, so); };
         net::NodePool pool(io,
                            {8, std::chrono::seconds(1), std::chrono::seconds(15), net::kLeastRing, kRests});
         std::shared_ptr<net::Connection> first, second;
@@ -381,11 +377,7 @@
 TEST_CASE("a request takes a connection that has rested before it waits for one that has not") {
     asio::io_context io;
     StandIn node(io);
-    const auto until = [&](const std::function<bool()>& so) {
-        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(15);
-        while (!so() && std::chrono::steady_clock::now() < end) io.run_one_for(milliseconds(50));
-        REQUIRE(so());
-    };
+    const auto until = [&](const std::function<bool()>& so) { runUntil(io, so); };
     net::NodePool pool(
         io, {8, std::chrono::seconds(1), std::chrono::seconds(15), net::kLeastRing, milliseconds(100)});
     std::shared_ptr<net::Connection> old, fresh, got;
@@ -576,11 +568,7 @@
 TEST_CASE("the pool is full: the longest idle connection makes room, and one in use never does") {
     asio::io_context io;
     StandIn idle(io), wanted(io);
-    const auto until = [&](const std::function<bool()>& so) {
-        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(15);
-        while (!so() && std::chrono::steady_clock::now() < end) io.run_one_for(milliseconds(50));
-        REQUIRE(so());
-    };
+    const auto until = [&](const std::function<bool()>& so) { runUntil(io, so); };
     net::NodePool pool(io, {2, std::chrono::seconds(1), std::chrono::seconds(15), net::kLeastRing});
     std::shared_ptr<net::Connection> used, spare, got;
     bool refused = false;
--- a/tests/net_support.h
+++ b/tests/net_support.h
@@ -88,6 +88,14 @@
     std::function<void(Wire&)> greets;
 };
 
+// Runs the loop until it is so; a test that waits in vain fails after this bound and does not hang.
+inline void runUntil(asio::io_context& io, const std::function<bool()>& so,
+                     const char* what = "what the test waits for") {
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(15);
+    while (!so() && std::chrono::steady_clock::now() < end) io.run_one_for(std::chrono::milliseconds(50));
+    REQUIRE_MESSAGE(so(), std::string(what));
+}
+
 inline config::Config baseConfig() {
     return config::parseConfig(config::readFile(std::string(WINGPROXY_SOURCE) + "/tests/config.json"));
 }
@@ -122,11 +130,8 @@
         rsync.sessionManager().closeListener(), rsync.sessionManager().stop();
         discovery.stop(), peers.stop(), pool.clear(), rsyncPool.clear();
     }
-    // Runs the loop until it is so; a test that waits in vain fails after this bound and does not hang.
     void until(const std::function<bool()>& so, const char* what = "what the test waits for") {
-        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(15);
-        while (!so() && std::chrono::steady_clock::now() < end) io.run_one_for(std::chrono::milliseconds(50));
-        REQUIRE_MESSAGE(so(), std::string(what));
+        runUntil(io, so, what);
     }
     WirePtr connect(const config::Endpoint& to) {
         tcp::socket socket(io);
