--- a/src/handover/hot_restart.cpp
+++ b/src/handover/hot_restart.cpp
@@ -5,6 +5,7 @@
 
 // How soon a successor notices that the right to serve is free: well within an aim.
 constexpr std::chrono::milliseconds kLookEvery{5};
+// Thousands of chunk servers out by hand; more is no file of ours.
 constexpr std::size_t kMostOverrides = 1024 * 1024;
 
 }  // namespace
--- a/src/handover/snapshot.h
+++ b/src/handover/snapshot.h
@@ -18,6 +18,7 @@
 };
 // A snapshot is read within milliseconds; one that is older was left behind by another pair of processes.
 constexpr Micros kFresh = 10'000'000;
+// Far above what a process within any memory limit of the pages keeps; more is no snapshot.
 constexpr std::size_t kMostBytes = 32 * 1024 * 1024;
 
 std::string encode(const Snapshot& snapshot);
--- a/src/health/health.cpp
+++ b/src/health/health.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 using boost::asio::ip::tcp;
+// A balancer opens one connection for each check and closes it; so many balancers may ask at once.
 constexpr std::size_t kMostClients = 8;
 
 std::string response(int status, std::string_view reason, std::string_view body) {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -34,7 +34,7 @@
 constexpr std::chrono::milliseconds kStopServing{450}, kAnswerBy{200}, kGone{120};
 // Answers end their connections for this long before idle ones are closed.
 constexpr std::chrono::milliseconds kLastRequests{100};
-constexpr std::chrono::milliseconds kLookEvery{20};
+constexpr std::chrono::milliseconds kLookEvery{20};  // while it ends: far below the times above
 // "Some milliseconds" late comes what a node answers twice, with every customer (standing test, join days):
 // of 54 such answers on seven days the latest came after 4. Twice that, and far below any aim.
 constexpr std::chrono::milliseconds kRest{8};
--- a/src/net/answer_reader.h
+++ b/src/net/answer_reader.h
@@ -41,7 +41,7 @@
     Parser& parser() { return reader_->parser(); }
 
 private:
-    static constexpr int kMostInterim = 8;
+    static constexpr int kMostInterim = 8;  // no node has that many to say; endless ones end the answer
     void again(const RingBuffer& in) { reader_.emplace(in, mostBody_); }
     std::size_t mostBody_;
     int interim_ = 0;  // heads with 1xx so far
--- a/src/net/peers.h
+++ b/src/net/peers.h
@@ -12,7 +12,7 @@
 
 class Peers {
 public:
-    static constexpr std::size_t kMost = 256;
+    static constexpr std::size_t kMost = 256;  // bytes of a datagram, by the protocol: a longer one voids all
     struct Counters {
         std::uint64_t sent = 0, received = 0, unsent = 0, unknown = 0, oversize = 0;
     };
--- a/src/net/ring_buffer.h
+++ b/src/net/ring_buffer.h
@@ -11,6 +11,8 @@
 
 namespace wingproxy::net {
 
+// Bytes of a ring, by the memory and the descriptors that the configuration gives: at the least a head of
+// ordinary length fits, and beyond the most nothing is gained.
 constexpr std::size_t kMostRing = 16 * 1024, kLeastRing = 4 * 1024;
 
 class RingBuffer {
--- a/src/operation/ask.cpp
+++ b/src/operation/ask.cpp
@@ -17,6 +17,7 @@
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = beast::http;
+// Metrics of thousands of classes; more is no answer of a front.
 constexpr std::uint64_t kMostAnswer = 1024 * 1024;
 
 // One after the other, each started by the end of the one before.
--- a/src/rsync/front.cpp
+++ b/src/rsync/front.cpp
@@ -7,8 +7,9 @@
 namespace wingproxy::rsync {
 namespace {
 
-constexpr std::chrono::seconds kHandshake{15};  // from connecting to the arguments' end
-constexpr std::size_t kMostArguments = 256;
+// From connecting to the arguments' end: a few lines each way, over any network.
+constexpr std::chrono::seconds kHandshake{15};
+constexpr std::size_t kMostArguments = 256;  // no client sends a tenth of them
 
 }  // namespace
 
