--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -240,15 +240,32 @@
     CHECK(old.status == 0);
 }
 
+namespace {
+
+// A process that has served a connection once, and the successor that waits for it.
+struct Upgrade {
+    Platform platform;
+    Process& old = serving(platform);
+    WirePtr held = served(platform);
+    Process& next = platform.startReady();
+    static Process& serving(Platform& platform) {
+        platform.rig.node().greets = [](Wire& wire) { wire.reply = ok("x"); };
+        return platform.startReady();
+    }
+    static WirePtr served(Platform& platform) {
+        auto client = platform.client();
+        platform.serve(client, "0000000000000001");
+        return client;
+    }
+};
+
+}  // namespace
+
 // A file that moves discovery is read by the old process in the instant in which it hands over: neither
 // undoes the other, and the successor has read the new file at its own start.
 TEST_CASE("an upgrade during a reload: the old process does both, and requests go on") {
-    Platform platform;
-    platform.rig.node().greets = [](Wire& wire) { wire.reply = ok("x"); };
-    auto& old = platform.startReady();
-    const auto held = platform.client();
-    platform.serve(held, "0000000000000001");
-    auto& next = platform.startReady();
+    Upgrade upgrade;
+    auto& [platform, old, held, next] = upgrade;
     old.signal(SIGHUP);
     old.signal(SIGTERM);
     platform.untilSaid(next, "taken over after");
@@ -304,12 +321,8 @@
 
 // The right to serve is free again then: who starts next has it at once, though the old one still drains.
 TEST_CASE("a successor that dies after it took over: the next process serves at once, as after a crash") {
-    Platform platform;
-    platform.rig.node().greets = [](Wire& wire) { wire.reply = ok("x"); };
-    auto& old = platform.startReady();
-    const auto held = platform.client();
-    platform.serve(held, "0000000000000001");
-    auto& next = platform.startReady();
+    Upgrade upgrade;
+    auto& [platform, old, held, next] = upgrade;
     old.signal(SIGTERM);
     platform.untilSaid(next, "taken over after");
     next.signal(SIGKILL);
