Log and count what is sent to nodes in slow start, and why requests get no node's answer

Added: a line when a node is listed in slow start (age, budget, hosts) and one when that is over (units sent, completed, largest window); counters slow_start and answers_without_node (by reason); with WINGPROXY_LOG=debug a line for each attempt, its outcome and each rejection with its reason. SlowStartMonitor (src/core) observes beside the policy and decides nothing, so it can contradict it. Decisions are unchanged: the golden traces are equal.

--- a/include/wingproxy/policy.h
+++ b/include/wingproxy/policy.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -190,6 +191,8 @@
     NotStarted,     ///< ordered for a request or node that was gone by then
 };
 inline constexpr std::size_t kOutcomeCount = 8;
+/// The name of an outcome in logs.
+std::string_view describe(Outcome outcome);
 
 /// Discovery answered, or failed to: `EndpointListKind::Unavailable`.
 struct EndpointListReceived {
@@ -268,14 +271,32 @@
     Micros timeoutUs = 0;     ///< 0: the request's own deadline
     Micros lastByteByUs = 0;  ///< a time after which its last byte must not be written; 0: none
 };
+/// Why a request got no attempt, or no further one, when it was answered without a node's response.
+enum class AnswerReason {
+    Unknown,        ///< none of the others
+    NoNode,         ///< its cell has no node that accepts requests
+    SlowStart,      ///< the nodes that accept requests are warming up and have had their budget
+    NoTokens,       ///< the limit of its volume
+    NodeBusy,       ///< the nodes have as many attempts as they are given, or are suspects
+    TooSlow,        ///< the nodes' latency is longer than the request is worth
+    NoCapacity,     ///< the front needed the connection
+    NotRepeatable,  ///< an attempt ended, and no other is allowed or in time
+    RequestSpent,   ///< an attempt ended, and nothing is left to be sent again
+};
+inline constexpr std::size_t kAnswerReasonCount = 9;
+/// The name of a reason in logs and metrics.
+std::string_view describe(AnswerReason reason);
+
 /// The final answer: nothing ran, the client may try again.
 struct RejectRequest {
     RequestId id = 0;
     Micros retryAfterUs = 0;  ///< 0: no advice
+    AnswerReason reason = AnswerReason::Unknown;
 };
 /// The final answer: failed, and it may have run.
 struct FailRequest {
     RequestId id = 0;
+    AnswerReason reason = AnswerReason::Unknown;
 };
 /// Ends an attempt from this side; its outcome is `Outcome::Cancelled`.
 struct CancelAttempt {
--- /dev/null
+++ b/include/wingproxy/slow_start_budget.h
@@ -0,0 +1,30 @@
+/// \file
+/// What a node may be sent while it warms up, by all hosts together.
+#pragma once
+
+#include <algorithm>
+
+#include "wingproxy/policy.h"
+
+namespace wingproxy {
+
+/// How many times its first capacity a node has at this age. It grows evenly from
+/// `Settings::slowStartCapacity` to the full capacity at `Settings::slowStartDurationUs`; the settings
+/// promise that no node is slower. \param age since the node's process started, in microseconds; less than 0
+/// counts as 0
+[[nodiscard]] inline double slowStartGrowth(const Settings& settings, Micros age) {
+    constexpr double kMinStartCapacity = 0.01;  // no division by less
+    const double fullGrowth = 1 / std::max(settings.slowStartCapacity, kMinStartCapacity);
+    if (settings.slowStartDurationUs <= 0) return fullGrowth;
+    const double warmPart = std::clamp(double(age) / double(settings.slowStartDurationUs), 0.0, 1.0);
+    return 1 + (fullGrowth - 1) * warmPart;
+}
+
+/// Units of work that any node of this age bears within one window (`Settings::slowStartWindowUs`), from all
+/// hosts together.
+/// \param age as above
+[[nodiscard]] inline double slowStartBudget(const Settings& settings, Micros age) {
+    return settings.slowStartUnits * slowStartGrowth(settings, age);
+}
+
+}  // namespace wingproxy
--- a/src/app/metrics_report.cpp
+++ b/src/app/metrics_report.cpp
@@ -47,6 +47,24 @@
              {"last_byte_timeouts", counters.lastByteTimeouts}}};
 }
 
+MetricGroup describeAnswerReasons(const core::Counters& counters) {
+    MetricGroup group{"answers_without_node", {}};
+    for (std::size_t i = 0; i < counters.answerReasons.size(); ++i)
+        group.metrics.push_back({describe(static_cast<AnswerReason>(i)), counters.answerReasons[i]});
+    return group;
+}
+
+MetricGroup describeSlowStart(const core::SlowStartCounters& counters) {
+    return {"slow_start",
+            {{"started", counters.nodesStarted},
+             {"warming_up", counters.nodesWarmingUp},
+             {"attempts", counters.attempts},
+             {"units_sent", counters.unitsSent},
+             {"units_completed", counters.unitsCompleted},
+             {"largest_window", counters.largestWindow},
+             {"over_part", counters.windowsOverPart}}};
+}
+
 MetricGroup describeAttempts(const core::Counters& counters) {
     return {"attempts",
             {{"sent", counters.attempts},
--- a/src/app/metrics_report.h
+++ b/src/app/metrics_report.h
@@ -67,6 +67,10 @@
 /// The line "requests": received and answered ones, all classes together.
 /// \param openRequests without their final answer
 [[nodiscard]] MetricGroup describeRequests(const core::Counters& counters, std::uint64_t openRequests);
+/// The line "answers_without_node": requests rejected or failed without a node's response, by reason.
+[[nodiscard]] MetricGroup describeAnswerReasons(const core::Counters& counters);
+/// The line "slow_start": what this host sent to nodes that are warming up.
+[[nodiscard]] MetricGroup describeSlowStart(const core::SlowStartCounters& counters);
 /// The line "attempts": those started, by outcome.
 [[nodiscard]] MetricGroup describeAttempts(const core::Counters& counters);
 /// The line "http": clients of the HTTP front, its answers, and what it refused or closed by itself.
--- a/src/app/metrics_snapshot.cpp
+++ b/src/app/metrics_snapshot.cpp
@@ -17,7 +17,9 @@
     const net::Engine& engine = sources.engine;
     std::vector<MetricGroup> groups{
         describeRequests(engine.counters(), engine.openRequests()),
+        describeAnswerReasons(engine.counters()),
         describeAttempts(engine.counters()),
+        describeSlowStart(engine.slowStartCounters()),
         describeHttp(sources.http.counters(), connectionMetrics(sources.http.sessionManager())),
     };
     if (auto* rsync = sources.rsync)
--- a/src/core/attempt_lifecycle.cpp
+++ b/src/core/attempt_lifecycle.cpp
@@ -35,6 +35,7 @@
 void AttemptLifecycle::startNow(const ForwardRequest& order, AttemptIndex attempt, InFlightRequest& request) {
     ReducerContext& context = parts_.context;
     ++context.counters.attempts;
+    context.slowStart.onAttemptStarted(order.node, request.units, context.now);
     const AttemptConditions conditions{request.deadlineUs, request.bodyIncomplete,
                                        parts_.endpoints.drainingSince(order.node)};
     const AttemptDeadlines deadlines =
@@ -77,6 +78,7 @@
     context.timers.cancel(Timer::attemptTimeout(result.id, result.attempt, ended.timeoutAt));
     context.timers.cancel(Timer::lastByte(result.id, result.attempt, ended.lastByteBy));
     countOutcome(context.counters, result.outcome);
+    if (result.outcome == Outcome::Ok) context.slowStart.onAttemptCompleted(ended.node, request.units);
     parts_.answers.answerFromAttempt(request, result);
     context.notifyPolicy(AttemptOutcome{result.id, result.attempt, ended.node, result.outcome,
                                         context.now - ended.startedAt, request.answered, result.loadPercent,
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -34,6 +34,8 @@
     /// By class index; the last entry is for requests of an unknown class.
     std::vector<ResponseCounts> byClass;
     std::array<std::uint64_t, kOutcomeCount> outcomes{};  ///< ended attempts by Outcome
+    /// Requests that were rejected or failed without a node's response, by AnswerReason.
+    std::array<std::uint64_t, kAnswerReasonCount> answerReasons{};
 
     /// The final answers of all classes together.
     [[nodiscard]] ResponseCounts total() const;
--- a/src/core/effects.h
+++ b/src/core/effects.h
@@ -41,11 +41,13 @@
 struct SendRejection {
     RequestId id = 0;
     Micros retryAfterUs = 0;
+    AnswerReason reason = AnswerReason::Unknown;
 };
 
 /// The final answer is that the request failed.
 struct SendFailure {
     RequestId id = 0;
+    AnswerReason reason = AnswerReason::Unknown;
 };
 
 /// Any effect of the reducer.
--- a/src/core/final_answers.cpp
+++ b/src/core/final_answers.cpp
@@ -16,10 +16,13 @@
 }
 
 void FinalAnswers::reject(const RejectRequest& action) {
-    answer(action.id, &ResponseCounts::rejected, SendRejection{action.id, action.retryAfterUs});
+    answer(action.id, &ResponseCounts::rejected, action.reason,
+           SendRejection{action.id, action.retryAfterUs, action.reason});
 }
 
-void FinalAnswers::fail(RequestId id) { answer(id, &ResponseCounts::failed, SendFailure{id}); }
+void FinalAnswers::fail(RequestId id, AnswerReason reason) {
+    answer(id, &ResponseCounts::failed, reason, SendFailure{id, reason});
+}
 
 void FinalAnswers::eraseIfFinished(RequestId id) {
     const InFlightRequest* request = requests_.find(id);
@@ -28,10 +31,11 @@
     requests_.erase(id);
 }
 
-void FinalAnswers::answer(RequestId id, Count count, Effect effect) {
+void FinalAnswers::answer(RequestId id, Count count, AnswerReason reason, Effect effect) {
     InFlightRequest* request = requests_.find(id);
     if (request == nullptr || request->answered) return;
     markAnswered(*request, count);
+    ++context_.counters.answerReasons[static_cast<std::size_t>(reason)];
     context_.emit(std::move(effect));
     eraseIfFinished(id);
 }
--- a/src/core/final_answers.h
+++ b/src/core/final_answers.h
@@ -24,7 +24,7 @@
     /// The policy rejected the request: nothing ran, and the client may try again.
     void reject(const RejectRequest& action);
     /// The request failed. Without effect where it has its answer.
-    void fail(RequestId id);
+    void fail(RequestId id, AnswerReason reason = AnswerReason::Unknown);
     /// Removes a request that has its answer and no attempt in flight. Its deadline is cancelled as well: a
     /// client may allow an hour, and an answered request must not keep a timer as long.
     void eraseIfFinished(RequestId id);
@@ -33,7 +33,7 @@
     /// A count of `ResponseCounts`.
     using Count = std::uint64_t ResponseCounts::*;
 
-    void answer(RequestId id, Count count, Effect effect);
+    void answer(RequestId id, Count count, AnswerReason reason, Effect effect);
     void markAnswered(InFlightRequest& request, Count count);
     [[nodiscard]] ResponseCounts& countsOf(const InFlightRequest& request);
 
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -114,12 +114,18 @@
 void State::handle(const CapacityNeeded& input) { context_.notifyPolicy(input); }
 
 void State::handle(EndpointListReceived input) {
-    context_.notifyPolicy(EndpointListReceived{endpoints_.update(std::move(input.list), context_.now)});
+    updateEndpoints(endpoints_.update(std::move(input.list), context_.now));
 }
 
 void State::handle(const AdminOverrideChanged& input) {
     const auto changed = endpoints_.update(input, context_.now);
-    if (changed) context_.notifyPolicy(EndpointListReceived{{EndpointListKind::Delta, 0, {*changed}}});
+    if (changed) updateEndpoints({EndpointListKind::Delta, 0, {*changed}});
+}
+
+void State::updateEndpoints(EndpointList list) {
+    for (std::string& line : context_.slowStart.onEndpointList(list, context_.now))
+        context_.emit(LogLine{std::move(line)});
+    context_.notifyPolicy(EndpointListReceived{std::move(list)});
 }
 
 void State::handle(PeerMessageReceived input) { context_.notifyPolicy(std::move(input)); }
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -49,6 +49,10 @@
     [[nodiscard]] Micros nextWake() const;
     /// Since the start of the process. Valid as long as the state.
     [[nodiscard]] const Counters& counters() const { return context_.counters; }
+    /// What was sent to nodes in slow start.
+    [[nodiscard]] SlowStartCounters slowStartCounters() const {
+        return context_.slowStart.counters(context_.now);
+    }
     /// Requests without their final answer.
     [[nodiscard]] std::size_t openRequests() const { return requests_.unanswered(); }
     /// Entries in all tables, the policy's too, but for the ever-listed ids, which have their own bound.
@@ -82,13 +86,15 @@
     void handle(const TimerExpired& input);
     void handle(const BatchEnded& input);
 
+    /// Passes a list with the overrides applied to the policy.
+    void updateEndpoints(EndpointList list);
     void expire(const Timer& timer);
     void expireRequest(RequestId id);
 
     // Actions of the policy.
     void apply(const ForwardRequest& action) { attempts_.start(action); }
     void apply(const RejectRequest& action) { answers_.reject(action); }
-    void apply(const FailRequest& action) { answers_.fail(action.id); }
+    void apply(const FailRequest& action) { answers_.fail(action.id, action.reason); }
     void apply(const CancelAttempt& action) { attempts_.cancel(action); }
     void apply(const StartHealthCheck& action) { context_.emit(action); }
     void apply(const SendPeerMessage& action) { context_.emit(action); }
--- a/src/core/reducer_context.h
+++ b/src/core/reducer_context.h
@@ -5,6 +5,7 @@
 #include "core/attempt_deadlines.h"
 #include "core/counters.h"
 #include "core/effects.h"
+#include "core/slow_start_monitor.h"
 #include "core/timer_queue.h"
 #include "wingproxy/policy.h"
 
@@ -27,6 +28,7 @@
     bool policyPending = true;  ///< the policy has actions that were not taken; at the start its first ones
     TimerQueue timers;
     Counters counters;
+    SlowStartMonitor slowStart{settings};
     Effects effects;  ///< of the input that is being handled
 };
 
--- a/src/core/request_table.cpp
+++ b/src/core/request_table.cpp
@@ -7,6 +7,7 @@
     if (!isNew) return nullptr;
     InFlightRequest& added = it->second;
     added.deadlineUs = request.deadlineUs;
+    added.units = request.units;
     added.cell = request.cell;
     added.classIndex = request.classIndex;
     added.bodyIncomplete = request.bodyIncomplete;
--- a/src/core/request_table.h
+++ b/src/core/request_table.h
@@ -25,6 +25,7 @@
 /// A request without a final answer, or with attempts that have not ended.
 struct InFlightRequest {
     Micros deadlineUs = 0;
+    double units = 0;             ///< of work
     CellIndex cell;               ///< the cell that holds the object; none: any
     ClassIndex classIndex;        ///< none: unknown
     int attemptsOrdered = 0;      ///< by the policy, those that were not started too; the next one's number
--- a/src/net/engine.cpp
+++ b/src/net/engine.cpp
@@ -98,6 +98,8 @@
     RequestId finishedId = kNoRequest;
     if (const auto* finished = std::get_if<core::AttemptFinished>(&input)) {
         finishedId = finished->id;
+        logger_.debug("request {} attempt {} ended: {}", finished->id, finished->attempt.value(),
+                      describe(finished->outcome));
         removeAttempt(finished->id, finished->attempt);
     }
     apply(core::reduce(state_, clock_.now(), std::move(input)));
@@ -136,6 +138,7 @@
 }
 
 void Engine::apply(const core::StartAttempt& effect) {
+    logger_.debug("request {} attempt {} to {}", effect.id, effect.attempt.value(), effect.node);
     const auto request = requests_.find(effect.id);
     const auto address = addresses_.find(effect.node);
     if (request == requests_.end() || !request->second.handler || address == addresses_.end()) {
@@ -155,6 +158,7 @@
 }
 
 void Engine::apply(const core::StopAttempt& effect) {
+    logger_.debug("request {} attempt {} stopped", effect.id, effect.attempt.value());
     const auto attempt = removeAttempt(effect.id, effect.attempt);
     if (attempt) attempt->cancel();
     eraseIfComplete(effect.id);
@@ -165,10 +169,12 @@
 }
 
 void Engine::apply(const core::SendRejection& effect) {
+    logger_.debug("request {} rejected: {}", effect.id, describe(effect.reason));
     if (const auto handler = markAnswered(effect.id)) handler->sendRejection(effect.retryAfterUs);
 }
 
 void Engine::apply(const core::SendFailure& effect) {
+    logger_.debug("request {} failed: {}", effect.id, describe(effect.reason));
     if (const auto handler = markAnswered(effect.id)) handler->sendFailure();
 }
 
--- a/src/net/engine.h
+++ b/src/net/engine.h
@@ -152,6 +152,8 @@
     const Settings& settings() const { return settings_; }
     /// The program's log.
     log::Logger& logger() { return logger_; }
+    /// What was sent to nodes in slow start.
+    core::SlowStartCounters slowStartCounters() const { return state_.slowStartCounters(); }
     /// Requests that have no final response yet.
     std::size_t openRequests() const { return state_.openRequests(); }
     /// Nodes on the endpoint list.
--- a/src/policy/dispatcher.cpp
+++ b/src/policy/dispatcher.cpp
@@ -68,6 +68,27 @@
     return best.choice;
 }
 
+AnswerReason Dispatcher::holdReason(const PendingRequest& request) const {
+    const std::vector<NodeIndex>& nodes = cluster_.cells()[request.cell().position()].nodes;
+    const auto isAny = [&](const auto& property) {
+        return std::any_of(nodes.begin(), nodes.end(), [&](NodeIndex index) {
+            Node& node = cluster_.node(index);
+            return cluster_.acceptsRequests(node) && property(node);
+        });
+    };
+    const auto admits = [&](Node& node) { return cluster_.slowStartAdmits(node, request.units()); };
+    const auto hasSlot = [&](const Node& node) {
+        return !cluster_.isSuspect(node) &&
+               (node.outstanding() == 0 || node.outstanding() + 1 <= cluster_.attemptsAllowed(node));
+    };
+    if (!isAny([](const Node&) { return true; })) return AnswerReason::NoNode;
+    if (request.needsTokens() && request.volume().limit().tokens() < request.units())
+        return AnswerReason::NoTokens;
+    if (!isAny(admits)) return AnswerReason::SlowStart;
+    if (!isAny([&](Node& node) { return admits(node) && hasSlot(node); })) return AnswerReason::NodeBusy;
+    return AnswerReason::TooSlow;
+}
+
 bool Dispatcher::sendNext(CellIndex number) {
     const Cell& cell = cluster_.cell(number);
     for (const auto& [key, request] : queues_.of(number).entries()) {
--- a/src/policy/dispatcher.h
+++ b/src/policy/dispatcher.h
@@ -41,6 +41,8 @@
         while (sendNext(cell)) {}
     }
 
+    /// Why a request that waits is not sent now, as far as one reason covers all nodes of its cell.
+    [[nodiscard]] AnswerReason holdReason(const PendingRequest& request) const;
     /// The least valuable of all requests that wait, the first of equals; null if none waits.
     [[nodiscard]] PendingRequest* leastValuable() {
         return queues_.least([&](const PendingRequest& request) { return admission_.value(request); });
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -88,45 +88,47 @@
     if (event.requestClosed || event.outcome == Outcome::Ok)
         finish(*request);
     else if (event.requestSpent)
-        rejectOrFail(*request, 0, event.outcome == Outcome::Rejected ? kMinRetryAfterMoved : kMinRetryAfter);
+        rejectOrFail(*request, {0, event.outcome == Outcome::Rejected ? kMinRetryAfterMoved : kMinRetryAfter},
+                     AnswerReason::RequestSpent);
     else
         retryOrFail(*request);
 }
 
 // Another attempt where the class, the budget and the time left allow one; else the final answer, now.
 void Policy::Impl::retryOrFail(PendingRequest& request) {
-    if (!retries_.mayRetry(request)) return rejectOrFail(request, 0, kMinRetryAfter);
+    if (!retries_.mayRetry(request))
+        return rejectOrFail(request, {0, kMinRetryAfter}, AnswerReason::NotRepeatable);
     const bool mayMove =
         request.info().cell.isNone() && !request.mayHaveRun();  // a new object that never ran
     if (mayMove) request.setCell(CellIndex());
     dispatcher_.enqueue(request);
 }
 
-void Policy::Impl::rejectOrFail(PendingRequest& request, Micros retryAfter, Micros minRetryAfter) {
+void Policy::Impl::rejectOrFail(PendingRequest& request, RetryAdvice advice, AnswerReason reason) {
     const Settings& settings = context_.settings;
-    const Micros advice = std::min(std::max(retryAfter, minRetryAfter), settings.maxRetryAfterUs);
+    const Micros retryAfter = std::min(std::max(advice.wanted, advice.atLeast), settings.maxRetryAfterUs);
     if (RetryPolicy::mayReject(request))
-        context_.emit(RejectRequest{request.id(), settings.sendsRetryAfter ? advice : 0});
+        context_.emit(RejectRequest{request.id(), settings.sendsRetryAfter ? retryAfter : 0, reason});
     else
-        context_.emit(FailRequest{request.id()});
+        context_.emit(FailRequest{request.id(), reason});
     finish(request);
 }
 
 void Policy::Impl::handle(const CapacityNeeded& event) {
     for (int i = 0; i < event.connections; ++i)
         if (PendingRequest* const least = dispatcher_.leastValuable())
-            rejectOrFail(*least, 0, kMinRetryAfter);
+            rejectOrFail(*least, {0, kMinRetryAfter}, AnswerReason::NoCapacity);
 }
 
 void Policy::Impl::shedLoad(CellIndex cell) {
     const RequestQueue& queue = dispatcher_.queues().of(cell);
     // In the batch in which they came: a client's last attempt may have only a few milliseconds left.
     for (PendingRequest* const request : queue.withDeadlineBefore(context_.now + 2 * kTickInterval))
-        rejectOrFail(*request, 0, kMinRetryAfter);
+        rejectOrFail(*request, {0, kMinRetryAfter}, dispatcher_.holdReason(*request));
     if (queue.empty()) return;
     const auto overload = shedder_.overload(cluster_.cell(cell), queue);
     for (PendingRequest* const request : overload.requests)
-        rejectOrFail(*request, overload.backlog, kMinRetryAfter);
+        rejectOrFail(*request, {overload.backlog, kMinRetryAfter}, dispatcher_.holdReason(*request));
 }
 
 void Policy::Impl::handle(const TimerFired& event) {
--- a/src/policy/policy_impl.h
+++ b/src/policy/policy_impl.h
@@ -72,7 +72,12 @@
     [[nodiscard]] Volume& volumeOf(const Request& request);
     void admit(PendingRequest& request);
     void retryOrFail(PendingRequest& request);
-    void rejectOrFail(PendingRequest& request, Micros retryAfter, Micros minRetryAfter);
+    /// How long an answered client is told to stay away, in microseconds.
+    struct RetryAdvice {
+        Micros wanted = 0;
+        Micros atLeast = 0;
+    };
+    void rejectOrFail(PendingRequest& request, RetryAdvice advice, AnswerReason reason);
     void finish(PendingRequest& request);
     void shedLoad(CellIndex cell);
     void handleRecord(HostIndex from, const peer::LeaseRequest& request) { leases_.onRequest(from, request); }
--- a/tests/app/metrics_report_test.cpp
+++ b/tests/app/metrics_report_test.cpp
@@ -38,6 +38,21 @@
           "cancelled=9 not_started=10 late=11 batches=12");
 }
 
+TEST_CASE("metrics: answers without a node's response are counted by reason") {
+    core::Counters counters;
+    counters.answerReasons = {1, 2, 3, 4, 5, 6, 7, 8, 9};
+    CHECK(
+        formatLine(describeAnswerReasons(counters)) ==
+        "counters answers_without_node: unknown=1 no_node=2 slow_start=3 no_tokens=4 node_busy=5 too_slow=6 "
+        "no_capacity=7 not_repeatable=8 request_spent=9");
+}
+
+TEST_CASE("metrics: slow start has a line of its own") {
+    CHECK(formatLine(describeSlowStart({1, 2, 3, 4, 5, 6, 7})) ==
+          "counters slow_start: started=1 warming_up=2 attempts=3 units_sent=4 units_completed=5 "
+          "largest_window=6 over_part=7");
+}
+
 TEST_CASE("metrics: the HTTP front's line has its connections and its requests") {
     http::Front::Counters counters;
     counters.requests = 3;
--- a/tests/app/metrics_snapshot_test.cpp
+++ b/tests/app/metrics_snapshot_test.cpp
@@ -39,15 +39,16 @@
 
 TEST_CASE("metrics snapshot: each part that there is has one group, in the order of the log lines") {
     const Gateway gateway;
-    CHECK(gateway.groupNames() == Names{"requests", "attempts", "http", "rsync", "nodes", "discovery",
-                                        "tables", "fleet", "reloads", "peers"});
+    CHECK(gateway.groupNames() == Names{"requests", "answers_without_node", "attempts", "slow_start", "http",
+                                        "rsync", "nodes", "discovery", "tables", "fleet", "reloads",
+                                        "peers"});
 }
 
 TEST_CASE("metrics snapshot: a part that is not configured has none") {
     Gateway gateway;
     gateway.sources.rsync = nullptr;
-    CHECK(gateway.groupNames() ==
-          Names{"requests", "attempts", "http", "nodes", "discovery", "tables", "fleet", "reloads", "peers"});
+    CHECK(gateway.groupNames() == Names{"requests", "answers_without_node", "attempts", "slow_start", "http",
+                                        "nodes", "discovery", "tables", "fleet", "reloads", "peers"});
 }
 
 TEST_CASE("metrics snapshot: the counters are those of the moment of the call") {
