Hold all that is sent to a node in slow start against one allowance that is safe in sum

Cause: src/policy/slow_start.cpp let a request pass by either of two allowances (admits), paid one of them 1.75 times the budget in proportion to what was heard of other hosts (earnCredit), and forgave debts (onSent). cluster_view.cpp took the age of a node off the wall clock, counted decisions and not arrivals, and forgot what a restarted node or process had been sent.

Ruled out: the estimate of demand alone; with it exact, the credit still paid more than the budget.

Change: one allowance, which all that is sent counts against, repeated, failed and declined work too. It is a fixed part of the budget divided by the hosts, and a multiple of what the node completed; the sum of each over all hosts is safe by itself. Windows are longer by what requests may arrive late. A process that starts anew waits for the window of its predecessor; what went to a node's new process before it was listed counts; the age of a node is bounded by the lists in which it was not; a body counts again when it is complete. connectTimeoutUs is a field of the settings now.

--- a/include/wingproxy/policy.h
+++ b/include/wingproxy/policy.h
@@ -84,14 +84,15 @@
     bool loadReportsOnlyByHealthCheck = false;
 
     // What the deployment allows.
-    int maxAttempts = 1;             ///< of one request, the first included
-    bool mayCheckHealth = false;     ///< `StartHealthCheck` is carried out
-    bool mayGossip = false;          ///< hosts may send each other messages
-    bool mayCancel = false;          ///< attempts may be cancelled
-    bool hedging = false;            ///< a second attempt may start while the first one runs
-    bool sendsRetryAfter = false;    ///< rejections say when the client may come back
-    Micros maxRetryAfterUs = 0;      ///< and name no longer time than this
-    bool pollsEndpointList = false;  ///< the endpoint list must be asked for; false: it is pushed
+    int maxAttempts = 1;                ///< of one request, the first included
+    bool mayCheckHealth = false;        ///< `StartHealthCheck` is carried out
+    bool mayGossip = false;             ///< hosts may send each other messages
+    bool mayCancel = false;             ///< attempts may be cancelled
+    bool hedging = false;               ///< a second attempt may start while the first one runs
+    bool sendsRetryAfter = false;       ///< rejections say when the client may come back
+    Micros connectTimeoutUs = 250'000;  ///< after which a connection attempt to a node has failed
+    Micros maxRetryAfterUs = 0;         ///< and name no longer time than this
+    bool pollsEndpointList = false;     ///< the endpoint list must be asked for; false: it is pushed
 
     // Obligations; 0 where one does not hold.
     Micros responseSlackUs = 0;  ///< a final answer may be this much late
@@ -105,7 +106,7 @@
     // Slow start of nodes that have just started.
     double slowStartCapacity = 1;        ///< capacity at the start, as a part of the full one
     double slowStartOverloadFactor = 0;  ///< a node fails under this multiple of its capacity
-    double slowStartUnits = 0;           ///< units that any starting node completes in one window
+    double slowStartUnits = 0;           ///< units that any starting node bears in one window from all hosts
     Micros slowStartDurationUs = 0;      ///< until capacity is full
     Micros slowStartWindowUs = 0;        ///< over which load is counted; 0: no such rule
 
--- a/include/wingproxy/slow_start_budget.h
+++ b/include/wingproxy/slow_start_budget.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <algorithm>
+#include <cmath>
 
 #include "wingproxy/policy.h"
 
@@ -27,4 +28,16 @@
     return settings.slowStartUnits * slowStartGrowth(settings, age);
 }
 
+/// Below this number of requests of mean work, a budget counts as one of few requests.
+inline constexpr double kFewSlowStartRequests = 30;
+
+/// Units within one window that a node bears beyond its budget, as the hosts' requests come by chance. For a
+/// budget of N requests of mean work it is 2 sqrt(N) + 2 of them, and 3 sqrt(N) + 3 where N is below
+/// `kFewSlowStartRequests`.
+[[nodiscard]] inline double slowStartTolerance(const Settings& settings, double budget) {
+    const double requests = budget / settings.meanUnits;
+    const double spread = requests < kFewSlowStartRequests ? 3 : 2;
+    return spread * (std::sqrt(requests) + 1) * settings.meanUnits;
+}
+
 }  // namespace wingproxy
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -77,7 +77,6 @@
     readLimits(root, config);
     config.cachedEndpoints = readCachedEndpoints(root);
     const auto allowed = root.child("settings").child("allowed");
-    allowed.number("connectTimeoutUs", config.connectTimeoutUs);
     allowed.number("connIdleUs", config.connIdleUs);
     return config;
 }
--- a/src/config/reload_differences.cpp
+++ b/src/config/reload_differences.cpp
@@ -10,8 +10,7 @@
 bool haveSameSettings(const Config& running, const Config& reloaded) {
     auto settings = reloaded.settings;
     settings.seed = running.settings.seed;
-    return running.settings == settings && running.connectTimeoutUs == reloaded.connectTimeoutUs &&
-           running.connIdleUs == reloaded.connIdleUs;
+    return running.settings == settings && running.connIdleUs == reloaded.connIdleUs;
 }
 
 }  // namespace
--- a/src/config/settings_fields.h
+++ b/src/config/settings_fields.h
@@ -104,6 +104,7 @@
     allowed.flag("secondCopies", settings.hedging);
     allowed.flag("retryAfter", settings.sendsRetryAfter);
     allowed.number("maxRetryAfterUs", settings.maxRetryAfterUs);
+    allowed.number("connectTimeoutUs", settings.connectTimeoutUs);
 }
 
 /// Fields of "obligations": what the deployment demands.
--- a/src/policy/attempt_tracker.h
+++ b/src/policy/attempt_tracker.h
@@ -24,7 +24,7 @@
         request.onTokensSpent();
         if (cluster_.isSuspect(node)) node.outliers().onTrialSent(context_.now);
         node.onAttemptSent(!request.isBodyIncomplete(), context_.now);
-        if (cluster_.isWarmingUp(node)) node.slowStart().onSent(context_.settings, units, context_.now);
+        cluster_.onUnitsSent(node, units);
         retries_.onSent(request);
         request.onSent(index, context_.now);
         const Micros lastByteBy = request.mayHaveRun() ? request.repeatableUntil() : 0;
@@ -41,8 +41,11 @@
     void onOutcome(Node& node, double units, Micros elapsed, Outcome outcome);
     /// A request body is complete: from now on its attempts hold slots at their nodes.
     void onBodyCompleted(const PendingRequest& request) {
-        for (const auto& [attempt, index] : request.nodeByAttempt())
-            cluster_.node(index).onAttemptSent(true, context_.now);
+        for (const auto& [attempt, index] : request.nodeByAttempt()) {
+            Node& node = cluster_.node(index);
+            node.onAttemptSent(true, context_.now);
+            cluster_.onUnitsSent(node, request.units());  // a node takes a request in with its last byte
+        }
     }
     /// Cancels attempts whose answers are lost, so that their slots are free and the time that is left goes
     /// to another attempt. Checks the health of nodes where that is not sure. To be called each tick, if the
--- a/src/policy/cluster_view.cpp
+++ b/src/policy/cluster_view.cpp
@@ -54,6 +54,9 @@
     std::vector<NodeInfo> started;
     for (const NodeInfo& info : list.nodes)
         if (applyNode(info, drainIsNew)) started.push_back(info);
+    for (NodeInfo& info : started)
+        info.startedUs = table_.find(info.id)->startedAt();
+    if (list.kind != EndpointListKind::Cached) listedAt_ = context_.now;
     table_.countReady();
     return started;
 }
@@ -61,8 +64,10 @@
 bool ClusterView::applyNode(const NodeInfo& info, bool drainIsNew) {
     const auto [node, isNew] = table_.add(info);
     const bool started = isNew || node.info().startedUs != info.startedUs;
-    if (started)
-        node.restart(context_.now, peer::fractionOf(info.id + std::to_string(context_.settings.seed)));
+    if (started) {
+        const double phase = peer::fractionOf(info.id + std::to_string(context_.settings.seed));
+        node.restart(startOf(info), phase, context_.now);
+    }
     if (node.isReady() && info.state == NodeState::Draining && drainIsNew)
         node.startDrain(context_.now + Micros(kDrainPart * double(context_.settings.drainGraceUs)));
     node.update(info);
@@ -75,9 +80,39 @@
            cells()[node.info().cell.position()].ready == 0;
 }
 
-bool ClusterView::slowStartAdmits(Node& node, double units) const {
+// The wall clocks of this host and of the node may disagree, and either may step. What discovery tells in one
+// list and did not tell in the list before has happened since, whatever the clocks say.
+NodeStart ClusterView::startOf(const NodeInfo& info) const {
+    if (info.startedUs <= 0) return {};
+    const Micros now = context_.now;
+    const Settings& settings = context_.settings;
+    NodeStart start{std::min(std::max(info.startedUs, listedAt_), now), now};
+    // An earlier process of this host may have sent what this one does not know of.
+    if (start.at < context_.startedAt)
+        start.usableSince =
+            context_.startedAt + settings.slowStartWindowUs + slowStartArrivalSpread(settings);
+    return start;
+}
+
+bool ClusterView::slowStartAdmits(const Node& node, double units) const {
     if (!isWarmingUp(node) || context_.settings.slowStartWindowUs <= 0) return true;
-    return !context_.handedOver && node.slowStart().admits(context_.settings, units, context_.now);
+    if (context_.handedOver) return false;
+    const SlowStartLimiter& limiter = node.slowStart();
+    const SlowStartAllowance allowance =
+        limiter.allowance(context_.settings, slowStartConditions(node), context_.now);
+    return limiter.admits(allowance, units, context_.now);
+}
+
+SlowStartConditions ClusterView::slowStartConditions(const Node& node) const {
+    SlowStartConditions conditions{context_.now - node.startedAt(), node.usableSince(), 1, {}};
+    if (!node.info().cell.isBelow(cellCount())) return conditions;
+    const Cell& cell = cells()[node.info().cell.position()];
+    const auto starting = std::count_if(cell.nodes.begin(), cell.nodes.end(), [&](NodeIndex index) {
+        return this->node(index).isListed() && isWarmingUp(this->node(index));
+    });
+    conditions.startingNodes = std::max(1, int(starting));
+    if (cell.usage) conditions.peers = usage_.slowStartPeers(*cell.usage);
+    return conditions;
 }
 
 }  // namespace wingproxy
--- a/src/policy/cluster_view.h
+++ b/src/policy/cluster_view.h
@@ -67,12 +67,11 @@
     [[nodiscard]] bool acceptsRequests(const Node& node) const;
     /// Whether its process started less than `Settings::slowStartDurationUs` ago.
     [[nodiscard]] bool isWarmingUp(const Node& node) const {
-        return node.info().startedUs > 0 &&
-               context_.now - node.info().startedUs < context_.settings.slowStartDurationUs;
+        return node.startedAt() > 0 &&
+               context_.now - node.startedAt() < context_.settings.slowStartDurationUs;
     }
-    /// Whether slow start allows one more request of `units`; always true for a node that is warm. Not const,
-    /// as samples that are too old are dropped on the way.
-    [[nodiscard]] bool slowStartAdmits(Node& node, double units) const;
+    /// Whether slow start allows one more request of `units`; always true for a node that is warm.
+    [[nodiscard]] bool slowStartAdmits(const Node& node, double units) const;
     /// Whether it was ejected or is silent, so that it gets trial requests only.
     [[nodiscard]] bool isSuspect(const Node& node) const {
         return node.outliers().isSuspect(node.outstanding(), node.concurrency().estimate().latency,
@@ -106,17 +105,13 @@
     }
 
     // -- what happened
-    /// This host is asked for `units` in a cell: it earns credit at each node there that is warming up.
-    void earnSlowStartCredit(const Cell& cell, double units) {
-        if (context_.settings.slowStartWindowUs <= 0) return;
-        for (const NodeIndex index : cell.nodes) {
-            Node& member = node(index);
-            if (!isWarmingUp(member)) continue;
-            const KeyUsage& usage = *this->cell(member.info().cell).usage;
-            member.slowStart().earnCredit(context_.settings, units, usage_.ownRate(usage),
-                                          usage_.othersOrAssumed(usage), member.info().startedUs,
-                                          context_.now);
-        }
+    /// A node is sent `units`, or the body of such a request is complete there. Counted while it is warm too:
+    /// its process may have been replaced already.
+    void onUnitsSent(Node& node, double units) {
+        const Settings& settings = context_.settings;
+        if (settings.slowStartWindowUs <= 0) return;
+        const Micros memory = settings.slowStartWindowUs + slowStartArrivalSpread(settings);
+        node.slowStart().onSent(units, memory, context_.now);
     }
     /// A peer reported how long requests wait in a cell.
     void onWaitReported(CellIndex cell, double waitUs) {
@@ -125,7 +120,10 @@
     }
 
 private:
+    /// Takes over one entry of a list. \return whether the node's process is new
     bool applyNode(const NodeInfo& info, bool drainIsNew);
+    [[nodiscard]] NodeStart startOf(const NodeInfo& info) const;
+    [[nodiscard]] SlowStartConditions slowStartConditions(const Node& node) const;
     [[nodiscard]] Micros watchSpread() const;
     // A part of the span that is the same for the same seed and time.
     [[nodiscard]] Micros jitter(Micros span) const {
@@ -136,7 +134,8 @@
     UsageTable& usage_;
     NodeTable table_;
     Micros nextWatchAt_ = 0;
-    Micros watchBackoff_ = 0;  // 0: the last call to discovery succeeded
+    Micros watchBackoff_ = 0;   // 0: the last call to discovery succeeded
+    Micros listedAt_ = kNever;  // when the last endpoint list came that discovery gave to this process
 };
 
 }  // namespace wingproxy
--- a/src/policy/gossip.cpp
+++ b/src/policy/gossip.cpp
@@ -13,6 +13,8 @@
 constexpr Micros kUsageMemory = 2'000'000;
 constexpr Micros kAggregateRefresh = 3'000'000;   // an aggregate that is steady is sent again
 constexpr Micros kPeerUsageLifetime = 8'000'000;  // two refreshes in a row may be lost
+constexpr Micros kSlowStartLifetime = 4'000'000;  // none may be lost where a node could be overloaded
+constexpr Micros kUntilComplete = 1'000'000;      // the first reports do not cover all hosts yet
 // Parts of a mean request a second: less is no change of an aggregate, and a host with less is forgotten.
 constexpr double kChangedAggregateRequests = 0.25;
 constexpr double kIdlePart = 0.125;
@@ -26,7 +28,9 @@
 
 }  // namespace
 
-UsageMemory Gossip::usageMemory() { return {kUsageMemory, kPeerUsageLifetime}; }
+UsageMemory Gossip::usageMemory() {
+    return {kUsageMemory, kPeerUsageLifetime, kSlowStartLifetime, kUntilComplete};
+}
 Micros Gossip::reportInterval() { return kReportInterval; }
 double Gossip::significantWait() const { return kLongLatencyPart * context_.latencyObjective; }
 double Gossip::significantRate() const { return context_.settings.meanUnits * kChangedAggregateRequests; }
--- a/src/policy/gossip.h
+++ b/src/policy/gossip.h
@@ -50,7 +50,8 @@
     void handle(HostIndex /*from*/, const peer::UsageAggregate& aggregate) {
         KeyUsage* const usage = usage_.find(aggregate.key);
         if (!usage) return;
-        usage->onOthersReported({aggregate.rate.value(), context_.now, aggregate.slowStartRate.rate()});
+        usage->onOthersReported({aggregate.rate.value(), context_.now, aggregate.slowStartRate.rate()},
+                                usageMemory().slowStart);
         if (usage->cell().isSet() && aggregate.wait.code > 0)
             cluster_.onWaitReported(usage->cell(), aggregate.wait.us());
     }
--- a/src/policy/key_usage.h
+++ b/src/policy/key_usage.h
@@ -2,6 +2,7 @@
 /// What one volume or one cell is asked for: through this host, and through the others as gossip reports it.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <set>
 #include <utility>
@@ -45,7 +46,21 @@
     /// What the other hosts are asked for; `PeerUsage::at` says how old that is.
     [[nodiscard]] const PeerUsage& others() const { return state_.others; }
     /// The rendezvous host reported what the other hosts are asked for.
-    void onOthersReported(const PeerUsage& others) { state_.others = others; }
+    /// \param lifetime how long a report counts, in microseconds
+    void onOthersReported(const PeerUsage& others, Micros lifetime) {
+        if (others.at - state_.others.at > lifetime) othersKnownSince_ = others.at;
+        const double held = peakOthersRate_.rate(others.at, lifetime);
+        peakOthersRate_ = {std::max(held, others.rate), others.at};
+        state_.others = others;
+    }
+    /// Units a second that the other hosts are asked for, or were shortly before: a rendezvous host that has
+    /// just started knows a part of them only.
+    /// \param memory time in which an earlier peak loses its weight, in microseconds
+    [[nodiscard]] double peakOthersRate(Micros now, Micros memory) const {
+        return std::max(state_.others.rate, peakOthersRate_.rate(now, memory));
+    }
+    /// Since when reports have come without a gap, in this process.
+    [[nodiscard]] Micros othersKnownSince() const { return othersKnownSince_; }
 
     /// The demand that the rendezvous host knows of, so that only a change is reported.
     [[nodiscard]] const DecayingRate& reported() const { return state_.reported; }
@@ -88,6 +103,8 @@
 
 private:
     State state_;
+    Micros othersKnownSince_ = 0;
+    DecayingRate peakOthersRate_;
 };
 
 }  // namespace wingproxy
--- a/src/policy/node.h
+++ b/src/policy/node.h
@@ -10,6 +10,13 @@
 
 namespace wingproxy {
 
+/// The start of a node's process, as this host learns of it.
+struct NodeStart {
+    Micros at = 0;  ///< no later than now; 0: long ago
+    /// While the node warms up, this host sends it nothing before this time.
+    Micros usableSince = kNever;
+};
+
 /// A node, listed or remembered: its entry of the endpoint list, the attempts that are outstanding there, and
 /// the three limits that follow from what its answers show. Owned by `NodeTable`.
 class Node {
@@ -34,7 +41,8 @@
           servesDrainUntil_(state.servesDrainUntil),
           concurrency_(state.concurrency),
           outliers_(state.outliers),
-          slowStart_(std::move(state.slowStart)) {}
+          slowStart_(std::move(state.slowStart)),
+          startedAt_(info_.startedUs) {}
 
     // -- endpoint list
     /// Its last entry of the endpoint list.
@@ -51,16 +59,25 @@
     /// A complete endpoint list begins, on which it may be missing.
     void unlist() { listed_ = false; }
     /// Its process is new: nothing that was learnt of the one before holds, but for the attempts that are
-    /// still outstanding.
-    /// \param creditDiscount see `SlowStartLimiter::withDiscount`
-    void restart(Micros now, double creditDiscount) {
+    /// still outstanding and what was sent after the start.
+    /// \param start when that was
+    /// \param phase see `SlowStartLimiter::State`
+    void restart(const NodeStart& start, double phase, Micros now) {
         const int outstanding = outstanding_;
+        SlowStartLimiter slowStart = std::move(slowStart_);
         *this = Node();
         outstanding_ = outstanding;
         concurrency_ = ConcurrencyLimit::startingAt(now);
         outliers_ = OutlierDetector::startingAt(now);
-        slowStart_ = SlowStartLimiter::withDiscount(creditDiscount);
+        slowStart.restart(start.at, phase);
+        slowStart_ = std::move(slowStart);
+        startedAt_ = start.at;
+        usableSince_ = start.usableSince;
     }
+    /// When its process started, as far as this host can tell (`NodeStart::at`); 0: long ago.
+    [[nodiscard]] Micros startedAt() const { return startedAt_; }
+    /// While it warms up, this host sends it nothing before this time.
+    [[nodiscard]] Micros usableSince() const { return usableSince_; }
     /// Its drain was announced; it may still get requests until then, where its cell has no other node.
     void startDrain(Micros servesUntil) { servesDrainUntil_ = servesUntil; }
     /// Until when a draining node may get new requests; `kNever` if it may not.
@@ -97,6 +114,8 @@
     [[nodiscard]] const OutlierDetector& outliers() const { return outliers_; }
     /// What this host may send while it warms up.
     [[nodiscard]] SlowStartLimiter& slowStart() { return slowStart_; }
+    /// As above, to read.
+    [[nodiscard]] const SlowStartLimiter& slowStart() const { return slowStart_; }
 
     /// For the snapshot.
     [[nodiscard]] State state() const {
@@ -118,6 +137,8 @@
     ConcurrencyLimit concurrency_;
     OutlierDetector outliers_;
     SlowStartLimiter slowStart_;
+    Micros startedAt_ = 0;
+    Micros usableSince_ = kNever;
 };
 
 }  // namespace wingproxy
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -65,7 +65,6 @@
     const double weightedUnits = admission_.classify(request);
     const Cell& cell = cluster_.cell(request.cell());
     usage_.record(*cell.usage, weightedUnits);
-    cluster_.earnSlowStartCredit(cell, weightedUnits);
     if (volume.hosts() > 1)
         gossip_.reportUsage(volume.key(), volume.usage(), {volume.limit().isLimited(), 0, 0});
 }
--- a/src/policy/slow_start.h
+++ b/src/policy/slow_start.h
@@ -2,50 +2,77 @@
 /// Limits what this host sends to a node that is warming up (slow start).
 #pragma once
 
+#include <optional>
+
 #include "policy/slow_start_window.h"
-#include "policy/usage_table.h"
+#include "wingproxy/policy.h"
 
 namespace wingproxy {
 
-/// All hosts together must not overload a node that is warming up. So each sends at most its part of the
-/// capacity that any starting node has, plus a margin over the units that the node completed for it within
-/// the observation window.
+/// What the other hosts say of a cell with nodes in slow start; only what is recent and complete.
+struct SlowStartPeers {
+    double demandPart = 1;     ///< of what the cell is asked for, the part that comes through this host
+    double completedRate = 0;  ///< units a second that its nodes in slow start completed for all hosts
+};
+
+/// What this host knows of a node in slow start.
+struct SlowStartConditions {
+    Micros age = 0;          ///< of the node's process, at least
+    Micros usableSince = 0;  ///< before this time, this host sends it nothing
+    int startingNodes = 1;   ///< nodes in slow start in its cell, this one included
+    std::optional<SlowStartPeers> peers;
+};
+
+/// What this host may send to a node in slow start.
+struct SlowStartAllowance {
+    double units = 0;        ///< within one window
+    Micros windowUs = 0;     ///< over which that is counted
+    Micros usableSince = 0;  ///< before this time nothing may be sent
+};
+
+/// How long after the decision to send them requests may still arrive at their node, in microseconds: a
+/// connection has to be opened, and a process may be held up. Windows are longer by as much, so that no
+/// window of the node is fuller than one of this host's.
+[[nodiscard]] Micros slowStartArrivalSpread(const Settings& settings);
+
+/// All hosts together must not overload a node that is warming up, whatever they hear of each other, however
+/// the node answers, and whatever this process did before it started.
+///
+/// So there is one allowance, which everything sent counts against, repeated, failed and declined requests
+/// too. It has two parts, and the sum of each over all hosts is safe by itself:
 ///
-/// Where that part is smaller than a request, a host collects credit: with every unit that the cell is asked
-/// for it earns the part of it that the node can bear, and it may send once the credit covers a request.
-/// Rejected and unanswered work is not credited back, so a node that is overloaded is left alone. Units are
-/// units of work.
+/// - A fixed part of the budget that the settings promise for any node (`slowStartBudget`), divided by the
+///   number of hosts. Where that is less than a request, hosts that hear of each other divide it by demand.
+/// - A multiple of the units that the node completed within the window: it cannot complete more than its
+///   capacity, so the hosts' completed units add up to a part of its budget.
+///
+/// Allowances are rounded to whole requests at random, differently on each host. Units are units of work.
 class SlowStartLimiter {
 public:
     /// All that it knows; for the snapshot.
     struct State {
         SlowStartWindow window;
-        double credit = 0;          ///< units earned and not sent yet; below 0 after a larger request
-        double creditDiscount = 0;  ///< part of a request, from 0 to 1, that credit need not cover
+        double phase =
+            0;  ///< from 0 to 1, differs from host to host: when a window begins, and how it rounds
     };
     SlowStartLimiter() = default;
     /// Takes over what a predecessor process knew.
     explicit SlowStartLimiter(State state) : state_(std::move(state)) {}
-    /// A limiter for a node that just started.
-    /// \param creditDiscount from 0 to 1, drawn from the host's seed: it differs from host to host, so that
-    ///        they do not all reach a request's credit at the same time
-    static SlowStartLimiter withDiscount(double creditDiscount) {
-        SlowStartLimiter fresh;
-        fresh.state_.creditDiscount = creditDiscount;
-        return fresh;
-    }
 
-    /// Whether a request of `units` may be sent without exceeding this host's share.
-    [[nodiscard]] bool admits(const Settings& settings, double units, Micros now);
-    /// Earns credit for `units` that the cell is asked for through this host.
-    /// \param startedUs when the node's process started
-    /// \param own what the cell is asked for through this host, in units a second
-    void earnCredit(const Settings& settings, double units, double own, const PeerUsage& others,
-                    Micros startedUs, Micros now);
-    /// A request was sent to the node: its units count against the window and the credit.
-    void onSent(const Settings& settings, double units, Micros now) {
+    /// The node's process is new. What was sent after its start went to the new process and still counts.
+    /// \param startedAt no later than the node's start
+    /// \param phase see `State`; drawn from the host's seed
+    void restart(Micros startedAt, double phase);
+    /// The most that this host may send within a window.
+    [[nodiscard]] SlowStartAllowance allowance(const Settings& settings,
+                                               const SlowStartConditions& conditions, Micros now) const;
+    /// Whether a request of `units` may be sent now.
+    [[nodiscard]] bool admits(const SlowStartAllowance& allowance, double units, Micros now) const;
+    /// A request was sent to the node, or its body is complete there.
+    /// \param memory how long that may count yet, in microseconds
+    void onSent(double units, Micros memory, Micros now) {
+        state_.window.dropOlderThan(memory, now);
         state_.window.addSent(units, now);
-        state_.credit = std::max(state_.credit - units, -settings.maxUnits);
     }
     /// The node completed a request of this host.
     void onCompleted(double units, Micros now) { state_.window.addCompleted(units, now); }
--- a/src/policy/slow_start_window.h
+++ b/src/policy/slow_start_window.h
@@ -1,5 +1,5 @@
 /// \file
-/// The units that a host sent to a starting node and that the node completed, within a sliding window.
+/// The units that a host sent to a node and that the node completed, within a sliding window.
 #pragma once
 
 #include <algorithm>
@@ -16,9 +16,9 @@
         Micros at = 0;
         double units = 0;  ///< sent; completed ones are negative
     };
-    /// Units over the window.
+    /// Units over a span of time.
     struct Sums {
-        double outstanding = 0;  ///< sent and not completed
+        double sent = 0;
         double completed = 0;
     };
     std::deque<Sample> samples;
@@ -27,15 +27,16 @@
     void addSent(double units, Micros now) { samples.push_back({now, units}); }
     /// A request of so many units was completed.
     void addCompleted(double units, Micros now) { samples.push_back({now, -units}); }
-    /// Forgets what is older than `length` microseconds, and sums up the rest.
-    Sums sums(Micros length, Micros now) {
+    /// Forgets what is older than `length` microseconds.
+    void dropOlderThan(Micros length, Micros now) {
         while (!samples.empty() && now - samples.front().at > length)
             samples.pop_front();
+    }
+    /// Sums up what is no older than `length` microseconds.
+    [[nodiscard]] Sums sums(Micros length, Micros now) const {
         Sums sums;
-        for (const Sample& sample : samples) {
-            sums.outstanding += sample.units;
-            sums.completed -= std::min(0.0, sample.units);
-        }
+        for (auto sample = samples.rbegin(); sample != samples.rend() && now - sample->at <= length; ++sample)
+            (sample->units > 0 ? sums.sent : sums.completed) += std::abs(sample->units);
         return sums;
     }
 };
--- a/src/policy/snapshot_archive.cpp
+++ b/src/policy/snapshot_archive.cpp
@@ -83,12 +83,13 @@
     OutlierDetector::State& outliers = state.outliers;
     SlowStartLimiter::State& slowStart = state.slowStart;
     LatencyEstimate& estimate = concurrency.estimate;
+    double unusedCredit = 0;  // versions before wrote a credit here
     archive(state.listed, state.info, concurrency.limit, estimate.latency, estimate.units, estimate.perUnit,
             outliers.errorShare, estimate.floor.current, estimate.floor.previous, estimate.floor.spanStart,
             outliers.progressAt, concurrency.loweredAt, outliers.lastTrialAt, estimate.updatedAt,
             outliers.newestAnswered, outliers.lastHealthCheckAt, outliers.ejectedUntil, state.listedAt,
-            state.servesDrainUntil, outliers.failures, slowStart.window.samples, slowStart.credit,
-            slowStart.creditDiscount);
+            state.servesDrainUntil, outliers.failures, slowStart.window.samples, unusedCredit,
+            slowStart.phase);
     node = Node(std::move(state));
 }
 template <typename Archive>
--- a/src/policy/usage_table.h
+++ b/src/policy/usage_table.h
@@ -4,12 +4,14 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 
 #include "policy/context.h"
 #include "policy/key_usage.h"
 #include "policy/peer_message.h"
+#include "policy/slow_start.h"
 
 namespace wingproxy {
 
@@ -18,8 +20,10 @@
 
 /// How long what is known of a key's use counts, in microseconds.
 struct UsageMemory {
-    Micros ownRate = 0;  ///< time in which a sample of this host's rate loses its weight
-    Micros others = 0;   ///< since the others' use was last reported
+    Micros ownRate = 0;        ///< time in which a sample of this host's rate loses its weight
+    Micros others = 0;         ///< since the others' use was last reported
+    Micros slowStart = 0;      ///< the same, for the budgets of nodes in slow start
+    Micros untilComplete = 0;  ///< from the first report until reports cover all hosts
 };
 
 /// Owns the use of every key. References to entries stay valid until the entry is released.
@@ -52,10 +56,15 @@
     [[nodiscard]] double othersRate(const KeyUsage& usage) const {
         return knowsOthers(usage) ? usage.others().rate : 0;
     }
-    /// What the others are asked for; where that is not known, each of them as much as this host.
-    [[nodiscard]] PeerUsage othersOrAssumed(const KeyUsage& usage) const {
-        if (knowsOthers(usage)) return usage.others();
-        return PeerUsage{ownRate(usage) * (context_.settings.hostCount - 1)};
+    /// What the others say of a cell with nodes in slow start; nothing where that is old, or too new to be
+    /// complete.
+    [[nodiscard]] std::optional<SlowStartPeers> slowStartPeers(const KeyUsage& usage) const {
+        const bool isRecent = context_.now - usage.others().at < memory_.slowStart;
+        const bool isComplete = context_.now - usage.othersKnownSince() >= memory_.untilComplete;
+        if (!isRecent || !isComplete) return std::nullopt;
+        const double own = ownRate(usage);
+        const double all = own + usage.peakOthersRate(context_.now, memory_.slowStart);
+        return SlowStartPeers{all > kNegligibleRate ? own / all : 1, usage.others().slowStartRate};
     }
     /// This host's part of all that the key is asked for, from 0 to 1; 1 where it is asked for nothing.
     [[nodiscard]] double ownShare(const KeyUsage& usage) const {
--- a/tests/golden/golden_stored_data_test.cpp
+++ b/tests/golden/golden_stored_data_test.cpp
@@ -270,6 +270,20 @@
     CHECK_MESSAGE(difference.empty(), difference);
 }
 
+// Such a file has a credit for each node in slow start, which is not used any more, and what was sent to
+// those nodes only.
+TEST_CASE("golden snapshot: a file of the version with a credit for slow start is restored") {
+    const std::string text = readGoldenFile("data/snapshot_slow_start_credit.hex");
+    const std::string bytes = bytesOfHex(text.substr(0, text.find('\n')));
+    const auto read = hot_restart::decode(bytes, "front-0", kSnapshotAt);
+    REQUIRE(std::holds_alternative<hot_restart::Snapshot>(read));
+    const auto& snapshot = std::get<hot_restart::Snapshot>(read);
+    CHECK(hot_restart::encode(snapshot) == bytes);
+    RunningState successor;
+    REQUIRE(core::restore(successor.state, snapshot.engine.core));
+    CHECK(successor.state.recovery().incarnation() == 100'001);
+}
+
 TEST_CASE("golden overrides: an earlier version's file is read") {
     const auto constructed = constructedOverrides();
     const std::string bytes = goldenBytes("overrides.hex", hot_restart::encodeOverrides(constructed));
