Slow start: nodes of a process's first list warm up anew; use less of the tolerance

Cause: a process that starts while its wall clock is ahead takes starting nodes for warm (cluster_view.cpp, startOf), as no earlier list bounds their age.

Ruled out: a price in service.

Change: the age of nodes with a start in the first list counts from the start of the process. Nodes are sent eight tenths of what they bear in place of nine.

--- a/src/policy/cluster_view.cpp
+++ b/src/policy/cluster_view.cpp
@@ -87,10 +87,13 @@
     const Micros now = context_.now;
     const Settings& settings = context_.settings;
     NodeStart start{std::min(std::max(info.startedUs, listedAt_), now), now};
-    // An earlier process of this host may have sent what this one does not know of.
-    if (start.at < context_.startedAt)
+    if (start.at >= context_.startedAt) return start;
+    // It started before this process, in whose time no list has been without it: its age is the clocks' word
+    // alone, and an earlier process of this host may have sent what this one does not know of.
+    if (now - start.at < settings.slowStartDurationUs)
         start.usableSince =
             context_.startedAt + settings.slowStartWindowUs + slowStartArrivalSpread(settings);
+    start.at = context_.startedAt;
     return start;
 }
 
--- a/src/policy/slow_start.cpp
+++ b/src/policy/slow_start.cpp
@@ -17,7 +17,7 @@
 constexpr double kGrowth = 1.5;
 constexpr double kMaxCompletedPart = 0.75;
 // Of what a node bears: the rest covers requests of more work than their units say.
-constexpr double kUsedPart = 0.9;
+constexpr double kUsedPart = 0.8;
 // How far the sum over hosts may lie above its mean, in standard deviations.
 constexpr double kDeviations = 3;
 constexpr double kSpreadRequests = 1.5;  // size of the requests that make up the sum, in mean requests
--- a/tests/policy/slow_start_test.cpp
+++ b/tests/policy/slow_start_test.cpp
@@ -191,6 +191,17 @@
     EXPECT_LT(*sent.rbegin(), kManyRequests);
 }
 
+// A process that starts while the wall clock is an hour ahead finds nodes in its first list that look old.
+TEST(SlowStart, AProcessThatStartsWithAWrongClockStartsSlowly) {
+    Host h(settings(0, 1), 2 * 3600 * kSecond);
+    h.batch({listedWith(h.now - 3600 * kSecond)});
+    RequestId id = 0;
+    EXPECT_LT(unitsSentAtOnce(h, id), kManyRequests);
+    Host old(settings(0, 1), 2 * 3600 * kSecond);
+    old.batch({listedWith(0)});  // long ago, by discovery's word
+    EXPECT_EQ(unitsSentAtOnce(old, id), kManyRequests);
+}
+
 TEST(SlowStart, AProcessThatStartsAnewWaitsForTheWindowOfItsPredecessor) {
     const Settings s = settings(0, 1);
     Host h(s, kStart);
