--- /dev/null
+++ b/tests/soak/stand_ins.h
@@ -0,0 +1,280 @@
+/// \file
+/// What stands around a fleet in a soak: a fault proxy on each way to a node, nodes, and discovery. All of
+/// them run on the event loop of the test.
+#pragma once
+
+#include <functional>
+#include <map>
+
+#include "soak/observations.h"
+#include "support/net_support.h"
+
+namespace wingproxy::soak {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+/// An HTTP message that is complete in a buffer.
+struct HttpMessage {
+    std::string head;
+    std::string body;
+    std::size_t length = 0;  ///< of head and body
+
+    /// The first message in the bytes, if all of it is there.
+    static std::optional<HttpMessage> in(const std::string& bytes) {
+        const auto end = bytes.find("\r\n\r\n");
+        if (end == std::string::npos) return std::nullopt;
+        HttpMessage message{bytes.substr(0, end + 4), "", end + 4};
+        const std::string length = message.field("Content-Length");
+        if (!length.empty()) message.length += std::stoul(length);
+        if (bytes.size() < message.length) return std::nullopt;
+        message.body = bytes.substr(end + 4, message.length - end - 4);
+        return message;
+    }
+    /// The value of a field, or nothing; names are compared as they are written here.
+    [[nodiscard]] std::string field(const std::string& name) const {
+        const auto at = head.find("\r\n" + name + ": ");
+        if (at == std::string::npos) return "";
+        const auto begin = at + name.size() + 4;
+        return head.substr(begin, head.find("\r\n", begin) - begin);
+    }
+    /// The number after `name=` in the request line; 0 if there is none.
+    [[nodiscard]] std::int64_t queryNumber(const std::string& name) const {
+        const auto at = head.find(name + "=");
+        return at == std::string::npos ? 0 : std::stoll(head.substr(at + name.size() + 1));
+    }
+};
+
+/// Passes connections on to a server, or does to them what the test says.
+class FaultProxy {
+public:
+    /// What happens to the bytes of all connections.
+    enum class Mode { Pass, Silent };
+
+    FaultProxy(asio::io_context& io, const tcp::endpoint& target)
+        : io_(io), target_(target), acceptor_(io, {asio::ip::make_address("127.0.0.1"), 0}) {
+        accept();
+    }
+    void setMode(Mode mode) {
+        mode_ = mode;
+        if (mode == Mode::Silent) return;
+        for (auto& link : links_)
+            for (std::size_t side = 0; side < 2; ++side)
+                if (!link->held[side].empty())
+                    send(*link->ends[1 - side], std::exchange(link->held[side], {}));
+    }
+    /// How long each piece of bytes takes.
+    void setDelay(milliseconds delay) { delay_ = delay; }
+    /// Resets all connections.
+    void resetAll() {
+        for (auto& link : links_)
+            close(*link, true);
+        links_.clear();
+    }
+    [[nodiscard]] tcp::endpoint endpoint() const { return acceptor_.local_endpoint(); }
+
+private:
+    struct Link {
+        std::array<std::shared_ptr<tcp::socket>, 2> ends;  // the front's, the node's
+        std::array<std::array<char, 8192>, 2> chunks{};
+        std::array<std::string, 2> held;
+        bool closed = false;
+    };
+    void accept() {
+        acceptor_.async_accept([this](const boost::system::error_code& error, tcp::socket socket) {
+            if (error) return;
+            auto link = std::make_shared<Link>();
+            link->ends = {std::make_shared<tcp::socket>(std::move(socket)),
+                          std::make_shared<tcp::socket>(io_)};
+            boost::system::error_code failed;
+            link->ends[1]->connect(target_, failed);
+            if (failed) {
+                close(*link, true);
+            } else {
+                links_.push_back(link);
+                read(link, 0);
+                read(link, 1);
+            }
+            std::erase_if(links_, [](const auto& each) { return each->closed; });
+            accept();
+        });
+    }
+    void read(const std::shared_ptr<Link>& link, std::size_t side) {
+        link->ends[side]->async_read_some(
+            asio::buffer(link->chunks[side]),
+            [this, link, side](const boost::system::error_code& error, std::size_t count) {
+                if (link->closed) return;
+                if (error) return close(*link, error != asio::error::eof);
+                forward(link, side, std::string(link->chunks[side].data(), count));
+                read(link, side);
+            });
+    }
+    void forward(const std::shared_ptr<Link>& link, std::size_t side, std::string bytes) {
+        if (mode_ == Mode::Silent) {
+            link->held[side] += bytes;
+        } else if (delay_.count() == 0) {
+            send(*link->ends[1 - side], bytes);
+        } else {
+            const auto timer = std::make_shared<asio::steady_timer>(io_, delay_);
+            timer->async_wait([timer, link, side, bytes = std::move(bytes)](const auto& stopped) {
+                if (!stopped && !link->closed) send(*link->ends[1 - side], bytes);
+            });
+        }
+    }
+    static void send(tcp::socket& to, const std::string& bytes) {
+        boost::system::error_code ignored;
+        asio::write(to, asio::buffer(bytes), ignored);
+    }
+    static void close(Link& link, bool reset) {
+        link.closed = true;
+        for (auto& end : link.ends) {
+            boost::system::error_code ignored;
+            if (reset) end->set_option(asio::socket_base::linger(true, 0), ignored);
+            end->close(ignored);
+        }
+    }
+
+    asio::io_context& io_;
+    tcp::endpoint target_;
+    tcp::acceptor acceptor_;
+    Mode mode_ = Mode::Pass;
+    milliseconds delay_{0};
+    std::vector<std::shared_ptr<Link>> links_;
+};
+
+/// A node: serves requests one after another, and answers with the id of the request.
+class StandInNode {
+public:
+    /// What it does with requests.
+    enum class Behaviour { Serve, Hang, Decline, Fail, ResetUnderRequests };
+
+    StandInNode(asio::io_context& io, Observations& observations, ObservedNode observed,
+                const Settings& settings)
+        : observations_(observations), observed_(std::move(observed)), settings_(settings), server_(io) {}
+    /// Looks at what has come; to be called in each turn of the loop.
+    void poll(const std::function<double(const std::string&)>& unitsOf) {
+        for (const auto& connection : server_.connections)
+            while (const auto message = HttpMessage::in(connection->received)) {
+                connection->received.erase(0, message->length);
+                handle(connection, *message, unitsOf);
+            }
+        while (!due_.empty() && due_.begin()->first <= Clock::now()) {
+            if (!due_.begin()->second.connection->ended)
+                due_.begin()->second.connection->send(test::ok(due_.begin()->second.id));
+            due_.erase(due_.begin());
+        }
+        std::erase_if(server_.connections, [](const auto& connection) { return connection->ended; });
+    }
+    /// Its process dies and a new one takes its place at once: cold, with nothing open.
+    void restart(std::int64_t startVersion) {
+        observations_.nodeEnded(observed_);
+        for (const auto& connection : server_.connections)
+            connection->reset();
+        server_.connections.clear();
+        due_.clear();
+        observed_ = {observed_.id, Clock::now(), true, startVersion, 0, observed_.heldBackUntil, {}};
+        idleAt_ = Clock::now();
+    }
+    void setBehaviour(Behaviour behaviour) { behaviour_ = behaviour; }
+    [[nodiscard]] ObservedNode& observed() { return observed_; }
+    [[nodiscard]] tcp::endpoint endpoint() const { return server_.acceptor.local_endpoint(); }
+
+private:
+    void handle(const test::TestConnectionPtr& connection, const HttpMessage& message,
+                const std::function<double(const std::string&)>& unitsOf) {
+        const std::string id = message.field("Req-Id");
+        if (id.empty()) return connection->send(test::status(404));  // a health check
+        observations_.attemptArrived(observed_, id,
+                                     milliseconds(std::stoll("0" + message.field("Req-Deadline-Ms"))));
+        switch (behaviour_) {
+            case Behaviour::Serve: {
+                const std::chrono::duration<double> work(unitsOf(id) / unitsPerSecond());
+                idleAt_ = std::max(idleAt_, Clock::now()) + std::chrono::duration_cast<Clock::duration>(work);
+                due_.emplace(idleAt_, DueAnswer{connection, id});
+                return;
+            }
+            case Behaviour::Hang:
+                return;
+            case Behaviour::Decline:
+                return connection->send(test::status(503, "Srv-Declined: 1\r\n"));
+            case Behaviour::Fail:
+                return connection->send(test::status(500));
+            case Behaviour::ResetUnderRequests:
+                connection->reset();
+                connection->ended = true;
+                return;
+        }
+    }
+
+    // As quick as the settings promise of any node of its age.
+    [[nodiscard]] double unitsPerSecond() const {
+        const auto age =
+            std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - observed_.startedAt);
+        const Micros warm = settings_.slowStartDurationUs;
+        const double budget = slowStartBudget(settings_, observed_.isStarting ? age.count() : warm);
+        return budget / settings_.slowStartOverloadFactor * 1e6 / double(settings_.slowStartWindowUs);
+    }
+
+    struct DueAnswer {
+        test::TestConnectionPtr connection;
+        std::string id;
+    };
+    Observations& observations_;
+    ObservedNode observed_;
+    Settings settings_;
+    Behaviour behaviour_ = Behaviour::Serve;
+    test::StubServer server_;
+    Clock::time_point idleAt_{};
+    std::multimap<Clock::time_point, DueAnswer> due_;
+};
+
+/// Discovery as one front sees it: answers polls with the complete list, watches when it has changed.
+class StandInDiscovery {
+public:
+    StandInDiscovery(asio::io_context& io, Observations& observations, std::size_t front)
+        : observations_(observations), front_(front), server_(io) {}
+    /// The list of this version, as it is written from now on.
+    void setList(std::int64_t version, std::string instances) {
+        version_ = version;
+        instances_ = std::move(instances);
+    }
+    /// While it is down it resets all connections.
+    void setDown(bool down) { isDown_ = down; }
+    /// To be called in each turn of the loop.
+    void poll() {
+        for (const auto& connection : server_.connections) {
+            if (isDown_) {
+                connection->reset();
+                connection->ended = true;
+                continue;
+            }
+            const auto message = HttpMessage::in(connection->received);
+            if (!message) continue;
+            auto [watch, isNew] = watches_.try_emplace(connection.get(), Clock::now());
+            const bool isOver = Clock::now() >= watch->second + milliseconds(message->queryNumber("wait_ms"));
+            const bool isWatch = message->head.find("after=") != std::string::npos;
+            if (isWatch && message->queryNumber("after") >= version_ && !isOver) continue;
+            watches_.erase(watch);
+            connection->received.erase(0, message->length);
+            connection->send(test::ok(
+                fmt::format(R"({{"generation":{},"reset":true,"instances":[{}]}})", version_, instances_)));
+            observations_.listTold(front_, version_);
+        }
+        std::erase_if(server_.connections, [this](const auto& connection) {
+            if (connection->ended) watches_.erase(connection.get());
+            return connection->ended;
+        });
+    }
+    [[nodiscard]] config::Endpoint address() const { return server_.address(); }
+
+private:
+    Observations& observations_;
+    std::size_t front_;
+    test::StubServer server_;
+    std::int64_t version_ = 0;
+    std::string instances_;
+    bool isDown_ = false;
+    std::map<test::TestConnection*, Clock::time_point> watches_;  // since when each is open
+};
+
+}  // namespace wingproxy::soak
--- a/tests/support/process_support.h
+++ b/tests/support/process_support.h
@@ -10,6 +10,7 @@
 
 #include <boost/asio/ip/udp.hpp>
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 
 #include "support/net_support.h"
@@ -50,17 +51,21 @@
     /// \param index number of the process in the folder
     /// \param listening a socket that already listens for clients
     /// \param adminPort where operators' requests are served
-    Process(const TemporaryFolder& folder, int index, int listening, std::uint16_t adminPort)
+    /// \param variables of its environment besides, each "NAME=VALUE"
+    Process(const TemporaryFolder& folder, int index, int listening, std::uint16_t adminPort,
+            const std::vector<std::string>& variables = {})
         : log(folder.file(fmt::format("log{}", index))), mgmt{"127.0.0.1", adminPort} {
         std::vector<std::string> environment{
             "PROXY_CONFIG=" + folder.file(kConfigFile), "TMPDIR=" + folder.path(),
             fmt::format("PROXY_FD={}", kInheritedFd), fmt::format("PROXY_MGMT=127.0.0.1:{}", adminPort)};
+        environment.insert(environment.end(), variables.begin(), variables.end());
         std::vector<char*> environmentPointers;
         environmentPointers.reserve(environment.size() + 1);
         for (auto& variable : environment)
             environmentPointers.push_back(variable.data());
         environmentPointers.push_back(nullptr);
-        std::string binary = WINGPROXY_BINARY;
+        const char* const otherBuild = std::getenv("WINGPROXY_TEST_BINARY");  // to compare two builds
+        std::string binary = otherBuild == nullptr ? WINGPROXY_BINARY : otherBuild;
         std::array<char*, 2> arguments{binary.data(), nullptr};
         posix_spawn_file_actions_t files;
         posix_spawn_file_actions_init(&files);
