--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -219,12 +219,16 @@
         if (!front.process->running()) return onExit(front);
         if (front.killAt && Clock::now() >= *front.killAt) {
             ++result_.killedAfterTerm;
-            for (const SoakClient& client : clients_)
-                if (client.front() == indexOf(front) && client.waits())
-                    observations_.violate("SIGKILL finds a request without its answer");
+            checkNothingIsOwed(indexOf(front));
             kill(front);
         }
     }
+    void checkNothingIsOwed(std::size_t front) {
+        const bool isOwed = std::any_of(clients_.begin(), clients_.end(), [&](const SoakClient& client) {
+            return client.front() == front && client.waits();
+        });
+        if (isOwed) observations_.violate("SIGKILL finds a request without its answer");
+    }
     void onExit(Front& front) {
         if (!front.state.terminating || front.process->status != 0)
             observations_.violate(fmt::format("a front ended with status {}: {}", front.process->status,
