Log the way of each request with the steady clock, and the phases of a shutdown

For the known failures of the soak: whether a client's leaving was noticed, when an attempt connected and sent its last byte, and in which phase a process was when it was killed could not be told from any log.

At the level debug each line of a request begins with the steady clock in microseconds, which all processes of a machine share, and the first one names the client's Req-Id; new are the client's leaving, the connection and the last byte of an attempt. At the level info each phase of a shutdown is a line with the time since SIGTERM, open requests and connections. No behaviour changes; nothing is formatted below the level.

--- a/src/app/proxy.cpp
+++ b/src/app/proxy.cpp
@@ -266,10 +266,19 @@
     if (!next) return;
     shutdownTimer_.expires_after(*next);
     shutdownTimer_.async_wait([this](const boost::system::error_code&) {
-        continueShutdown(shutdown_.advance(std::chrono::steady_clock::now()));
+        const ShutdownPhase before = shutdown_.phase();
+        const auto now = std::chrono::steady_clock::now();
+        const ShutdownSequence::NextCall following = shutdown_.advance(now);
+        if (shutdown_.phase() != before) logShutdownPhase(now);
+        continueShutdown(following);
     });
 }
 
+void Proxy::logShutdownPhase(std::chrono::steady_clock::time_point now) {
+    logger_.info("stopping: {} after {} ms, {} requests open, {} connections", describe(shutdown_.phase()),
+                 shutdown_.elapsed(now).count(), engine_.openRequests(), allConnections());
+}
+
 void Proxy::expectNoNewConnections() { front_.expectNoNewConnections(); }
 
 void Proxy::closeListeners() {
--- a/src/app/proxy.h
+++ b/src/app/proxy.h
@@ -84,6 +84,7 @@
     void startShutdown();
     [[nodiscard]] ShutdownMode beginDraining();
     void continueShutdown(ShutdownSequence::NextCall next);
+    void logShutdownPhase(std::chrono::steady_clock::time_point now);
     void expectNoNewConnections() override;
     void closeListeners() override;
     void closeIdleConnections() override;
--- a/src/app/shutdown_sequence.cpp
+++ b/src/app/shutdown_sequence.cpp
@@ -31,6 +31,22 @@
 
 }  // namespace
 
+std::string_view describe(ShutdownPhase phase) {
+    switch (phase) {
+        case ShutdownPhase::Serving:
+            return "serving";
+        case ShutdownPhase::Draining:
+            return "draining";
+        case ShutdownPhase::ClosingListener:
+            return "closing the listener";
+        case ShutdownPhase::ClosingIdle:
+            return "closing idle connections";
+        case ShutdownPhase::Stopped:
+            return "stopped";
+    }
+    return "";
+}
+
 void ShutdownSequence::schedule(microseconds longestDeadline, TimePoint now) {
     scheduled_ = true;
     scheduledAt_ = now;
--- a/src/app/shutdown_sequence.h
+++ b/src/app/shutdown_sequence.h
@@ -21,12 +21,16 @@
 #include <chrono>
 #include <cstddef>
 #include <optional>
+#include <string_view>
 
 namespace wingproxy::app {
 
 /// Where the shutdown is. The phases are entered in this order, none of them twice; some may be skipped.
 enum class ShutdownPhase { Serving, Draining, ClosingListener, ClosingIdle, Stopped };
 
+/// The phase in words, for the log.
+[[nodiscard]] std::string_view describe(ShutdownPhase phase);
+
 /// Who serves the clients while this process shuts down.
 enum class ShutdownMode {
     WithoutSuccessor,  ///< this process, for as long as it can
@@ -81,6 +85,10 @@
 
     /// The phase that the last call left; it changes in `start` and `advance` only.
     [[nodiscard]] ShutdownPhase phase() const { return phase_; }
+    /// The time since `schedule`.
+    [[nodiscard]] std::chrono::milliseconds elapsed(TimePoint now) const {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(now - scheduledAt_);
+    }
     /// Whether SIGTERM was received.
     [[nodiscard]] bool scheduled() const { return scheduled_; }
     /// Until when requests are served as usual; counted from `schedule`.
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "http/client_limits.h"
+#include "http/field_values.h"
 #include "http/message_writer.h"
 #include "http/pending_request.h"
 #include "http/rejection.h"
@@ -145,10 +146,10 @@
     auto result = validateRequest(*message, streamed.has_value(), engine.settings(), context_.requestIds(),
                                   engine.now());
     if (const auto* rejection = std::get_if<Rejection>(&result)) return reject(*rejection);
-    submit(std::get<ParsedRequest>(std::move(result)), std::move(message), streamed);
+    submit(std::get<ParsedRequest>(std::move(result)), message, streamed);
 }
 
-void ClientConnection::submit(ParsedRequest parsed, std::shared_ptr<const RequestMessage> message,
+void ClientConnection::submit(ParsedRequest parsed, const std::shared_ptr<const RequestMessage>& message,
                               std::optional<BodyFraming> streamed) {
     responseDeadline_ = ResponseDeadline(context_.engine().now(), parsed.timeoutUs);
     bodyIncomplete_ = streamed.has_value();
@@ -158,9 +159,10 @@
     context_.onRequestWaiting();
     markActive();
     auto reservation = streamed ? nullptr : reader_.body().releaseReservation();
-    auto pending = std::make_shared<PendingRequest>(context_, net::sharedFrom(this), std::move(message),
-                                                    streamed, std::move(reservation));
+    auto pending = std::make_shared<PendingRequest>(context_, net::sharedFrom(this), message, streamed,
+                                                    std::move(reservation));
     requestId_ = context_.engine().submit(std::move(parsed.request), std::move(pending));
+    context_.engine().trace("request {} is {}", requestId_, toStringView((*message)["Req-Id"]));
     context_.keepConnectionsFree(sessionManager_.activeConnections());
 }
 
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -67,7 +67,7 @@
     bool acceptHead();
     void sendContinue();
     void dispatch(std::optional<BodyFraming> streamed);
-    void submit(ParsedRequest parsed, std::shared_ptr<const RequestMessage> message,
+    void submit(ParsedRequest parsed, const std::shared_ptr<const RequestMessage>& message,
                 std::optional<BodyFraming> streamed);
     Micros deadline() const;  // on the engine's clock
     void onBodyCompleted();
--- a/src/http/request_attempt.cpp
+++ b/src/http/request_attempt.cpp
@@ -40,6 +40,7 @@
 
 void RequestAttempt::onConnected(std::shared_ptr<net::Connection> connection) {
     connection_ = std::move(connection);
+    engine_.trace("request {} attempt {} connected", params_.id, params_.attempt.value());
     const auto host = fmt::format("{}:{}", params_.node.host, params_.node.port);
     const auto remainingUs = params_.timeoutAt - engine_.now();
     auto text = serializeNodeRequest(*message_, host, remainingUs, streamed_ ? &*streamed_ : nullptr);
--- a/src/net/engine.cpp
+++ b/src/net/engine.cpp
@@ -1,6 +1,7 @@
 #include "net/engine.h"
 
 #include <boost/asio/post.hpp>
+#include <chrono>
 
 namespace wingproxy::net {
 namespace {
@@ -47,6 +48,7 @@
 }
 
 void Engine::clientDisconnected(RequestId id) {
+    trace("request {} has lost its client", id);
     markAnswered(id);
     process(core::ClientDisconnected{id});
 }
@@ -93,13 +95,18 @@
     return complete;
 }
 
+Micros Engine::steadyMicros() {
+    using std::chrono::duration_cast, std::chrono::microseconds;
+    return duration_cast<microseconds>(std::chrono::steady_clock::now().time_since_epoch()).count();
+}
+
 void Engine::process(core::Input input) {
     if (stopped_) return;
     RequestId finishedId = kNoRequest;
     if (const auto* finished = std::get_if<core::AttemptFinished>(&input)) {
         finishedId = finished->id;
-        logger_.debug("request {} attempt {} ended: {}", finished->id, finished->attempt.value(),
-                      describe(finished->outcome));
+        trace("request {} attempt {} ended: {}", finished->id, finished->attempt.value(),
+              describe(finished->outcome));
         removeAttempt(finished->id, finished->attempt);
     }
     apply(core::reduce(state_, clock_.now(), std::move(input)));
@@ -138,7 +145,7 @@
 }
 
 void Engine::apply(const core::StartAttempt& effect) {
-    logger_.debug("request {} attempt {} to {}", effect.id, effect.attempt.value(), effect.node);
+    trace("request {} attempt {} to {}", effect.id, effect.attempt.value(), effect.node);
     const auto request = requests_.find(effect.id);
     const auto address = addresses_.find(effect.node);
     if (request == requests_.end() || !request->second.handler || address == addresses_.end()) {
@@ -158,23 +165,24 @@
 }
 
 void Engine::apply(const core::StopAttempt& effect) {
-    logger_.debug("request {} attempt {} stopped", effect.id, effect.attempt.value());
+    trace("request {} attempt {} stopped", effect.id, effect.attempt.value());
     const auto attempt = removeAttempt(effect.id, effect.attempt);
     if (attempt) attempt->cancel();
     eraseIfComplete(effect.id);
 }
 
 void Engine::apply(const core::DeliverResponse& effect) {
+    trace("request {} answered by attempt {}", effect.id, effect.attempt.value());
     if (const auto handler = markAnswered(effect.id)) handler->deliverResponse(effect.attempt);
 }
 
 void Engine::apply(const core::SendRejection& effect) {
-    logger_.debug("request {} rejected: {}", effect.id, describe(effect.reason));
+    trace("request {} rejected: {}", effect.id, describe(effect.reason));
     if (const auto handler = markAnswered(effect.id)) handler->sendRejection(effect.retryAfterUs);
 }
 
 void Engine::apply(const core::SendFailure& effect) {
-    logger_.debug("request {} failed: {}", effect.id, describe(effect.reason));
+    trace("request {} failed: {}", effect.id, describe(effect.reason));
     if (const auto handler = markAnswered(effect.id)) handler->sendFailure();
 }
 
--- a/src/net/engine.h
+++ b/src/net/engine.h
@@ -95,6 +95,7 @@
     void shutdownStarted(Micros servesUntilUs) { process(ShutdownStarted{servesUntilUs}); }
     /// The last byte of the request was written to the node's connection: the node may run it from now on.
     void attemptRequestSent(RequestId id, AttemptIndex attempt) {
+        trace("request {} attempt {} sent", id, attempt.value());
         process(core::AttemptRequestSent{id, attempt});
     }
     /// The head of a response arrived, of which the body is still coming: the node has done its work.
@@ -152,6 +153,13 @@
     const Settings& settings() const { return settings_; }
     /// The program's log.
     log::Logger& logger() { return logger_; }
+    /// Logs one step of a request at the level `debug`, behind the steady clock's time in microseconds, which
+    /// all processes of a machine share.
+    template <typename... Args>
+    void trace(fmt::format_string<Args...> format, Args&&... args) {
+        if (!logger_.writes(log::Level::Debug)) return;
+        logger_.debug("{} {}", steadyMicros(), fmt::vformat(format, fmt::make_format_args(args...)));
+    }
     /// What was sent to nodes in slow start.
     core::SlowStartCounters slowStartCounters() const { return state_.slowStartCounters(); }
     /// Requests that have no final response yet.
@@ -178,6 +186,7 @@
         bool answered = false;                                      // or its client disconnected
     };
 
+    static Micros steadyMicros();
     void process(core::Input input);
     void scheduleBatchEnd();
     void endBatch();
