--- /dev/null
+++ b/tests/soak/soak_checker_test.cpp
@@ -0,0 +1,216 @@
+// The checker of the soak itself: each rule, broken on purpose.
+#include "soak/reference_queue.h"
+#include "soak/soak_clients.h"
+#include "support/process_support.h"
+
+using namespace wingproxy;
+
+namespace {
+
+struct CheckedRequest {
+    CheckedRequest() {
+        node.id = std::string("n");
+        node.startedAt = soak::Clock::now();
+        node.startVersion = 1;
+        observed.patience = std::chrono::milliseconds(1'000);
+        observed.sentAt = soak::Clock::now();
+        observations.requestSent("r", observed);
+    }
+    Settings settings = config::parseConfig(test::testConfigText()).settings;
+    soak::Observations observations{settings, 1};
+    soak::ObservedRequest observed;
+    soak::ObservedNode node;
+    void arrive(int patience = 1'000, const std::string& id = "r") {
+        observations.attemptArrived(node, id, std::chrono::milliseconds(patience));
+    }
+    /// The client left so long ago.
+    void leave(std::chrono::milliseconds ago) {
+        observed.clientLeftAt = soak::Clock::now() - ago;
+        observations.requestSent("r", observed);
+    }
+    /// The node has just started, and the request is of so many units.
+    void startNode(double units) {
+        observations.listTold(0, 1);
+        node.isStarting = true;
+        observed.units = units;
+        observations.requestSent("r", observed);
+    }
+    bool isViolated(const std::string& what) const {
+        const auto& all = observations.violations();
+        return all.size() == 1 && all[0].what.find(what) != std::string::npos;
+    }
+};
+
+/// A client whose front does what the test says.
+struct CheckedClient {
+    CheckedClient() {
+        while (front.connections.empty() || front.connections.back()->received.empty())
+            turn();
+    }
+    void turn() {
+        io.poll();
+        client.poll(state, observations, result);
+    }
+    void endConnection() {
+        front.connections.back()->close();
+        while (observations.violations().empty() && result.crossed == 0)
+            turn();
+    }
+    bool isViolated(const std::string& what) const {
+        const auto& all = observations.violations();
+        return all.size() == 1 && all[0].what.find(what) != std::string::npos;
+    }
+    /// The request on the wire has come to a node.
+    void arriveAtNode() {
+        const auto message = soak::HttpMessage::in(front.connections.back()->received);
+        REQUIRE(message);
+        soak::ObservedNode node;
+        observations.attemptArrived(node, message->field("Req-Id"), std::chrono::milliseconds(1));
+    }
+    /// Answers the first request with a rejection, and waits for the next one on the same connection.
+    void keepConnection() {
+        const auto first = front.connections.back();
+        first->clearReceived();
+        first->send(test::status(503));
+        while (first->received.empty())
+            turn();
+    }
+    soak::asio::io_context io;
+    test::StubServer front{io};
+    soak::Observations observations{config::parseConfig(test::testConfigText()).settings, 1};
+    soak::SoakResult result;
+    soak::FrontState state;
+    soak::SoakClient client{0,
+                            1,
+                            {std::chrono::duration<double>(0.001), std::chrono::milliseconds(900), false},
+                            {[this] { return test::connectTo(io, front.acceptor.local_endpoint()); },
+                             [](const soak::OfferedRequest&) {}}};
+};
+
+}  // namespace
+
+TEST_CASE("soak checker: an attempt in order breaks nothing") {
+    CheckedRequest one;
+    one.arrive();
+    CHECK(one.observations.violations().empty());
+}
+
+TEST_CASE("soak checker: finds a request that no client sent") {
+    CheckedRequest one;
+    one.arrive(1'000, "other");
+    CHECK(one.isViolated("no client sent"));
+}
+
+TEST_CASE("soak checker: finds a time that the client has not") {
+    CheckedRequest one;
+    one.arrive(1'300);
+    CHECK(one.isViolated("names 1300 ms"));
+}
+
+TEST_CASE("soak checker: finds an attempt after its client has gone") {
+    CheckedRequest one;
+    one.leave(std::chrono::milliseconds(300));
+    one.arrive();
+    CHECK(one.isViolated("after its client left"));
+}
+
+TEST_CASE("soak checker: an attempt that begins 0.1 s after its client has gone breaks nothing") {
+    CheckedRequest one;
+    one.leave(std::chrono::milliseconds(99));
+    one.arrive();
+    CHECK(one.observations.violations().empty());
+}
+
+TEST_CASE("soak checker: finds too many attempts") {
+    CheckedRequest one;
+    for (int i = 0; i <= one.settings.maxAttempts; ++i)
+        one.arrive();
+    CHECK(one.isViolated("more attempts than allowed"));
+}
+
+TEST_CASE("soak checker: finds a request at a node that drains") {
+    CheckedRequest one;
+    one.settings.drainGraceUs = -1'000'000;
+    soak::Observations strict(one.settings, 1);
+    strict.requestSent("r", one.observed);
+    strict.listTold(0, 5);
+    one.node.drainVersion = 5;
+    strict.attemptArrived(one.node, "r", std::chrono::milliseconds(1'000));
+    REQUIRE(strict.violations().size() == 1);
+    CHECK(strict.violations()[0].what.find("drains") != std::string::npos);
+}
+
+TEST_CASE("soak checker: finds an overloaded node in slow start") {
+    CheckedRequest one;
+    one.startNode(200);
+    one.arrive();
+    one.observations.nodeEnded(one.node);
+    CHECK(one.isViolated("more than it bears"));
+}
+
+TEST_CASE("soak checker: holds a node in slow start against its own capacity") {
+    CheckedRequest one;
+    one.startNode(200);
+    one.node.capacityFactor = 4;
+    one.arrive();
+    one.observations.nodeEnded(one.node);
+    CHECK(one.observations.violations().empty());
+}
+
+TEST_CASE("soak checker: a kept connection may close before its request is read") {
+    CheckedClient one;
+    one.keepConnection();
+    one.endConnection();
+    CHECK(one.result.crossed == 1);
+}
+
+TEST_CASE("soak checker: finds a kept connection that closes without an answer to what a node has got") {
+    CheckedClient one;
+    one.keepConnection();
+    one.arriveAtNode();
+    one.endConnection();
+    CHECK(one.isViolated("which a node has got"));
+}
+
+TEST_CASE("soak checker: finds a new connection that closes without an answer") {
+    CheckedClient one;
+    one.endConnection();
+    CHECK(one.isViolated("closed a new connection"));
+}
+
+TEST_CASE("soak checker: a crowded front may shut a new connection unread") {
+    CheckedClient one;
+    one.state.crowded = true;
+    one.endConnection();
+    CHECK(one.result.crossed == 1);
+}
+
+TEST_CASE("soak checker: finds that a crowded front closes on a request that a node has got") {
+    CheckedClient one;
+    one.state.crowded = true;
+    one.arriveAtNode();
+    one.endConnection();
+    CHECK(one.isViolated("which a node has got"));
+}
+
+TEST_CASE("soak reference: a node answers one request after another") {
+    const auto now = soak::Clock::now();
+    soak::ReferenceQueue queue;
+    queue.take(0, *queue.answerTime(std::chrono::milliseconds(10), now));
+    const auto second = queue.answerTime(std::chrono::milliseconds(10), now);
+    REQUIRE(second);
+    CHECK(*second == now + std::chrono::milliseconds(20));
+    queue.take(0, *second);
+    CHECK(queue.answered(now + std::chrono::milliseconds(10)) == 1);
+    CHECK(queue.answered(now + std::chrono::milliseconds(20)) == 2);
+}
+
+TEST_CASE("soak reference: what a node has not answered is lost with it, and it is seen late to be back") {
+    const auto now = soak::Clock::now();
+    soak::ReferenceQueue queue;
+    queue.take(0, *queue.answerTime(std::chrono::milliseconds(10), now));
+    queue.restart(now + std::chrono::milliseconds(5));
+    CHECK(queue.answered(now + std::chrono::milliseconds(20)) == 0);
+    CHECK_FALSE(queue.answerTime(std::chrono::milliseconds(10), now + std::chrono::milliseconds(100)));
+    CHECK(queue.answerTime(std::chrono::milliseconds(10), now + std::chrono::milliseconds(600)));
+}
--- a/tests/soak/soak_clients.h
+++ b/tests/soak/soak_clients.h
@@ -17,18 +17,41 @@
     Clock::time_point killedAt{};  ///< when its last process was killed without a warning
 };
 
+/// How a client asks.
+struct ClientHabits {
+    std::chrono::duration<double> interval{1};  ///< mean time between two requests, if answers come sooner
+    milliseconds longestDeadline{0};
+    bool obeysRetryAfter = false;
+};
+
+/// What a client asks for, to compare with what could be answered.
+struct OfferedRequest {
+    std::size_t front = 0;
+    int cell = 0;
+    double units = 0;
+    milliseconds patience{0};
+};
+
 /// A client that keeps its connection and uses it until the front closes it.
 class SoakClient {
 public:
-    /// \param connect opens a connection to the front
-    SoakClient(std::size_t front, std::uint64_t seed, std::function<test::TestConnectionPtr()> connect)
-        : front_(front), random_(seed), connect_(std::move(connect)) {}
+    /// How a client reaches its front and the measure of what it asks for.
+    struct Surroundings {
+        std::function<test::TestConnectionPtr()> connect;
+        std::function<void(const OfferedRequest&)> onOffered;  ///< not for those whose client will leave
+    };
+    SoakClient(std::size_t front, std::uint64_t seed, const ClientHabits& habits, Surroundings surroundings)
+        : front_(front), random_(seed), habits_(habits), surroundings_(std::move(surroundings)) {
+        scheduleNext();
+    }
 
     /// Goes on: sends, reads, leaves, or finds that the front broke a rule.
     void poll(const FrontState& front, Observations& observations, SoakResult& result);
     [[nodiscard]] std::size_t front() const { return front_; }
-    /// Whether it has a request without an answer, on a connection that the front keeps open.
-    [[nodiscard]] bool waits() const { return waits_ && !connection_->ended; }
+    /// The request without an answer, on a connection that the front keeps open; empty if there is none.
+    [[nodiscard]] std::string waitsFor() const {
+        return waits_ && !connection_->ended ? request_.id : std::string();
+    }
 
 private:
     static constexpr milliseconds kLateAnswer{500};  ///< after its time an answer is only worth nothing
@@ -36,15 +59,19 @@
     static constexpr int kMaxUnits = 6;
 
     void start(const FrontState& front, Observations& observations, SoakResult& result);
+    void drawRequest();
     void send(Observations& observations);
+    void leave(Observations& observations, SoakResult& result);
     void receive(const HttpMessage& message, Observations& observations, SoakResult& result);
     void onEnded(const FrontState& front, Observations& observations, SoakResult& result);
-    void rest(milliseconds longest) { nextAt_ = Clock::now() + milliseconds(draw(longest.count()) + 1); }
+    void onOverdue(Observations& observations);
+    void scheduleNext();
     std::int64_t draw(std::int64_t below) { return std::int64_t(random_() % std::uint64_t(below)); }
 
     std::size_t front_;
     std::mt19937_64 random_;
-    std::function<test::TestConnectionPtr()> connect_;
+    ClientHabits habits_;
+    Surroundings surroundings_;
     test::TestConnectionPtr connection_;
     bool isFirstOnConnection_ = true;
     bool waits_ = false;
--- a/tests/soak/stand_ins.h
+++ b/tests/soak/stand_ins.h
@@ -148,21 +148,22 @@
     /// What it does with requests.
     enum class Behaviour { Serve, Hang, Decline, Fail, ResetUnderRequests };
 
+    /// \param dropsAbandoned whether waiting work is dropped whose connection was closed
     StandInNode(asio::io_context& io, Observations& observations, ObservedNode observed,
-                const Settings& settings)
-        : observations_(observations), observed_(std::move(observed)), settings_(settings), server_(io) {}
+                const Settings& settings, bool dropsAbandoned)
+        : observations_(observations),
+          observed_(std::move(observed)),
+          settings_(settingsOfNode(settings, observed_.capacityFactor)),
+          dropsAbandoned_(dropsAbandoned),
+          server_(io) {}
     /// Looks at what has come; to be called in each turn of the loop.
-    void poll(const std::function<double(const std::string&)>& unitsOf) {
+    void poll() {
         for (const auto& connection : server_.connections)
             while (const auto message = HttpMessage::in(connection->received)) {
                 connection->received.erase(0, message->length);
-                handle(connection, *message, unitsOf);
+                handle(connection, *message);
             }
-        while (!due_.empty() && due_.begin()->first <= Clock::now()) {
-            if (!due_.begin()->second.connection->ended)
-                due_.begin()->second.connection->send(test::ok(due_.begin()->second.id));
-            due_.erase(due_.begin());
-        }
+        work();
         std::erase_if(server_.connections, [](const auto& connection) { return connection->ended; });
     }
     /// Its process dies and a new one takes its place at once: cold, with nothing open.
@@ -171,28 +172,43 @@
         for (const auto& connection : server_.connections)
             connection->reset();
         server_.connections.clear();
-        due_.clear();
-        observed_ = {observed_.id, Clock::now(), true, startVersion, 0, observed_.heldBackUntil, {}};
-        idleAt_ = Clock::now();
+        waiting_.clear();
+        ObservedNode fresh;
+        fresh.id = observed_.id;
+        fresh.startedAt = Clock::now();
+        fresh.isStarting = true;
+        fresh.startVersion = startVersion;
+        fresh.heldBackUntil = observed_.heldBackUntil;
+        fresh.capacityFactor = observed_.capacityFactor;
+        observed_ = std::move(fresh);
     }
     void setBehaviour(Behaviour behaviour) { behaviour_ = behaviour; }
     [[nodiscard]] ObservedNode& observed() { return observed_; }
     [[nodiscard]] tcp::endpoint endpoint() const { return server_.acceptor.local_endpoint(); }
+    /// How long a request of so many units takes it now, as quick as a node of its age and capacity is.
+    [[nodiscard]] Clock::duration timeFor(double units) const {
+        const std::chrono::duration<double> seconds(units / unitsPerSecond());
+        return std::chrono::duration_cast<Clock::duration>(seconds);
+    }
+    [[nodiscard]] double unitsPerSecond() const {
+        const auto age =
+            std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - observed_.startedAt);
+        const Micros warm = settings_.slowStartDurationUs;
+        const double budget = slowStartBudget(settings_, observed_.isStarting ? age.count() : warm);
+        return budget / settings_.slowStartOverloadFactor * 1e6 / double(settings_.slowStartWindowUs);
+    }
 
 private:
-    void handle(const test::TestConnectionPtr& connection, const HttpMessage& message,
-                const std::function<double(const std::string&)>& unitsOf) {
+    void handle(const test::TestConnectionPtr& connection, const HttpMessage& message) {
         const std::string id = message.field("Req-Id");
         if (id.empty()) return connection->send(test::status(404));  // a health check
         observations_.attemptArrived(observed_, id,
                                      milliseconds(std::stoll("0" + message.field("Req-Deadline-Ms"))));
         switch (behaviour_) {
-            case Behaviour::Serve: {
-                const std::chrono::duration<double> work(unitsOf(id) / unitsPerSecond());
-                idleAt_ = std::max(idleAt_, Clock::now()) + std::chrono::duration_cast<Clock::duration>(work);
-                due_.emplace(idleAt_, DueAnswer{connection, id});
+            case Behaviour::Serve:
+                if (waiting_.empty()) startNext(Clock::now(), observations_.unitsOf(id));
+                waiting_.push_back({connection, id});
                 return;
-            }
             case Behaviour::Hang:
                 return;
             case Behaviour::Decline:
@@ -205,27 +221,31 @@
                 return;
         }
     }
-
-    // As quick as the settings promise of any node of its age.
-    [[nodiscard]] double unitsPerSecond() const {
-        const auto age =
-            std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - observed_.startedAt);
-        const Micros warm = settings_.slowStartDurationUs;
-        const double budget = slowStartBudget(settings_, observed_.isStarting ? age.count() : warm);
-        return budget / settings_.slowStartOverloadFactor * 1e6 / double(settings_.slowStartWindowUs);
+    // The first of those that wait is being worked on.
+    void work() {
+        while (!waiting_.empty() && Clock::now() >= firstDoneAt_) {
+            if (!waiting_.front().connection->ended)
+                waiting_.front().connection->send(test::ok(waiting_.front().id));
+            waiting_.pop_front();
+            while (dropsAbandoned_ && !waiting_.empty() && waiting_.front().connection->ended)
+                waiting_.pop_front();
+            if (!waiting_.empty()) startNext(firstDoneAt_, observations_.unitsOf(waiting_.front().id));
+        }
     }
+    void startNext(Clock::time_point at, double units) { firstDoneAt_ = at + timeFor(units); }
 
-    struct DueAnswer {
+    struct Work {
         test::TestConnectionPtr connection;
         std::string id;
     };
     Observations& observations_;
     ObservedNode observed_;
     Settings settings_;
+    bool dropsAbandoned_;
     Behaviour behaviour_ = Behaviour::Serve;
     test::StubServer server_;
-    Clock::time_point idleAt_{};
-    std::multimap<Clock::time_point, DueAnswer> due_;
+    Clock::time_point firstDoneAt_{};
+    std::deque<Work> waiting_;
 };
 
 /// Discovery as one front sees it: answers polls with the complete list, watches when it has changed.
