Tests: processes no longer hold the connections of the test that starts them

Cause: the fault is the soak's, not the front's. Sockets of the test are inherited by each front that it starts, so a client that closed its connection after another front had started anew did not leave: the system keeps the connection open as long as any process holds it. The same hid resets and closes of nodes.

"soak: a client that closes its connection is gone, whatever processes started meanwhile" fails before ("the client is gone" in vain for 15 s) and passes now.

Ruled out: a front held up by SIGSTOP (none was), an observer that is late (at most 1 ms by its own measure). The check stays as it is.

--- a/tests/soak/soak_checker_test.cpp
+++ b/tests/soak/soak_checker_test.cpp
@@ -89,6 +89,16 @@
 
 }  // namespace
 
+TEST_CASE("soak: a client that closes its connection is gone, whatever processes started meanwhile") {
+    test::Platform platform;
+    test::StubServer server(platform.fixture.io);
+    const auto client = test::connectTo(platform.fixture.io, server.acceptor.local_endpoint());
+    platform.fixture.waitUntil([&] { return !server.connections.empty(); }, "the client is connected");
+    platform.startReady();
+    client->close();
+    platform.fixture.waitUntil([&] { return server.connections.back()->ended; }, "the client is gone");
+}
+
 TEST_CASE("soak checker: an attempt in order breaks nothing") {
     CheckedRequest one;
     one.arrive();
--- a/tests/support/process_support.h
+++ b/tests/support/process_support.h
@@ -72,6 +72,10 @@
         posix_spawn_file_actions_adddup2(&files, listening, kInheritedFd);
         posix_spawn_file_actions_addopen(&files, STDERR_FILENO, log.c_str(), O_CREAT | O_WRONLY | O_TRUNC,
                                          0600);
+        // A connection of the test that the process held too would stay open when the test closes its end.
+        for (int descriptor = STDERR_FILENO + 1; descriptor < kInheritedFd; ++descriptor)
+            posix_spawn_file_actions_addclose(&files, descriptor);
+        posix_spawn_file_actions_addclosefrom_np(&files, kInheritedFd + 1);
         REQUIRE(posix_spawn(&pid, binary.c_str(), &files, nullptr, arguments.data(),
                             environmentPointers.data()) == 0);
         posix_spawn_file_actions_destroy(&files);
