Count a shutdown from when SIGTERM may have been sent, also if the process was held up

Cause: the times of the shutdown were counted from the moment in which SIGTERM was handled. A process that is stopped or has no processor when it is sent handles it up to 0.15 s late, while the platform counts from the signal: answers due 0.2 s before the kill came 0.07 s before it, and another hold-up then (the platform allows 0.15 s each) took the rest.

Without a hold-up no time changes: nothing is closed earlier, as it would be with larger margins for all.

"SIGTERM to a process that is held up: what comes is answered a hold-up's time before the kill" fails before (answer after 1,031 ms, 950 allowed) and passes now.

--- a/src/app/proxy.cpp
+++ b/src/app/proxy.cpp
@@ -244,7 +244,7 @@
 
 void Proxy::startShutdown() {
     if (shutdown_.scheduled()) return;
-    shutdown_.schedule(longestDeadline(config_.settings), std::chrono::steady_clock::now());
+    shutdown_.schedule(longestDeadline(config_.settings), engine_.earliestSignal());
     requestsBeforeShutdown_ = engine_.counters().received;
     logger_.info("stopping: {} requests open", engine_.openRequests());
     const ShutdownMode mode = beginDraining();
@@ -254,11 +254,13 @@
 ShutdownMode Proxy::beginDraining() {
     if (hotRestart_ && hotRestart_->waitsAsSuccessor()) return ShutdownMode::NeverServed;
     const bool transfers = hotRestart_ && hotRestart_->hasSuccessor();
+    const std::chrono::microseconds elapsed = shutdown_.elapsed(std::chrono::steady_clock::now());
+    const Micros signalledAt = engine_.now() - elapsed.count();
     if (transfers)
         hotRestart_->transferService();
     else
-        engine_.shutdownStarted(engine_.now() + shutdown_.serveFor().count());
-    front_.setResponseDeadline(engine_.now() + shutdown_.respondWithin().count());
+        engine_.shutdownStarted(signalledAt + shutdown_.serveFor().count());
+    front_.setResponseDeadline(signalledAt + shutdown_.respondWithin().count());
     return transfers ? ShutdownMode::Transferred : ShutdownMode::WithoutSuccessor;
 }
 
--- a/src/app/shutdown_sequence.cpp
+++ b/src/app/shutdown_sequence.cpp
@@ -47,9 +47,9 @@
     return "";
 }
 
-void ShutdownSequence::schedule(microseconds longestDeadline, TimePoint now) {
+void ShutdownSequence::schedule(microseconds longestDeadline, TimePoint signalledAt) {
     scheduled_ = true;
-    scheduledAt_ = now;
+    scheduledAt_ = signalledAt;
     killAfter_ = std::min<microseconds>(longestDeadline, kMaxDeadline) + kKillMargin;
 }
 
--- a/src/app/shutdown_sequence.h
+++ b/src/app/shutdown_sequence.h
@@ -76,7 +76,8 @@
 
     /// SIGTERM was received: fixes the times below. The phase stays `Serving` until `start`.
     /// \param longestDeadline of the settings' classes
-    void schedule(std::chrono::microseconds longestDeadline, TimePoint now);
+    /// \param signalledAt when SIGTERM may have been sent at the earliest, as the kill is counted from there
+    void schedule(std::chrono::microseconds longestDeadline, TimePoint signalledAt);
     /// Begins the shutdown that was scheduled, and takes its first step.
     NextCall start(ShutdownMode mode, TimePoint now);
     /// The transition function: acts as the phase demands, and enters the next phase where this one has
--- a/tests/http/graceful_shutdown_test.cpp
+++ b/tests/http/graceful_shutdown_test.cpp
@@ -150,3 +150,28 @@
         CHECK(got.starts_with("HTTP/1.1 200 "));
     }
 }
+
+// Guards against the soak's seed 15: a process was held up when SIGTERM came, counted its time from the
+// moment in which it went on, and still owed an answer at the kill after another hold-up.
+TEST_CASE("SIGTERM to a process that is held up: what comes is answered a hold-up's time before the kill") {
+    constexpr milliseconds kKill{400 + 700};
+    constexpr milliseconds kHoldUp{130};
+    constexpr milliseconds kLongestHoldUp{150};
+    Platform platform(384, {{"\"deadlineUs\":1500000", "\"deadlineUs\":400000"},
+                            {"\"deadlineUs\":3000000", "\"deadlineUs\":400000"}});
+    auto& fixture = platform.fixture;
+    fixture.node().onConnection = [](TestConnection&) {};  // it answers nothing
+    auto& process = platform.startReady();
+    const auto client = platform.client();
+    const auto since = std::chrono::steady_clock::now();
+    const auto elapsed = [&] { return std::chrono::steady_clock::now() - since; };
+    process.signal(SIGSTOP);
+    process.signal(SIGTERM);
+    fixture.waitUntil([&] { return elapsed() >= kHoldUp; }, "the hold-up is over");
+    process.signal(SIGCONT);
+    platform.waitUntilLogged(process, "stopping: 0 requests open");
+    fixture.waitUntil([&] { return elapsed() >= kKill / 2; }, "half of the time is over");
+    client->send(PlatformRequest{.id = id(1), .deadlineMs = 2'000}.text());
+    fixture.waitUntil([&] { return client->hasReceived("\r\n\r\n"); }, "the answer");
+    CHECK(elapsed() < kKill - kLongestHoldUp);
+}
