Let all hosts together leave a slow silent node time to answer: first attempts, trials

Cause, two faults of one class (a bound that each host keeps alone): - Before a node's first answer no host knows its part of the demand, so each took itself for the only one and sent three requests at once. Five hosts gave a node 13 to 16 in the first half second, which it needs 4 to 5 s for; every answer came after its client's time. - A node that answers nothing in time is a suspect, and each host tries it every 0.3 s: 8 to 12 requests a second at a node that does 3.3. As a node works on what nobody waits for, its queue never ended.

Change: before its first answer the hosts share a node's initial limit evenly, one attempt each at the least. The time between two trials of a host is what the slowest node that the settings promise needs for one request of each host: 0.3 s as before where that is enough, 1.2 s at the most.

Two new tests, which fail before.

--- a/include/wingproxy/slow_start_budget.h
+++ b/include/wingproxy/slow_start_budget.h
@@ -28,6 +28,15 @@
     return settings.slowStartUnits * slowStartGrowth(settings, age);
 }
 
+/// Units of work a second that any warm node does, as far as the settings promise it; 0: they promise
+/// nothing.
+[[nodiscard]] inline double promisedUnitsPerSecond(const Settings& settings) {
+    if (settings.slowStartWindowUs <= 0 || settings.slowStartOverloadFactor <= 0) return 0;
+    const double windows = 1e6 / double(settings.slowStartWindowUs);
+    return slowStartBudget(settings, settings.slowStartDurationUs) / settings.slowStartOverloadFactor *
+           windows;
+}
+
 /// Below this number of requests of mean work, a budget counts as one of few requests.
 inline constexpr double kFewSlowStartRequests = 30;
 
--- a/src/policy/cluster_view.h
+++ b/src/policy/cluster_view.h
@@ -77,6 +77,8 @@
         return node.outliers().isSuspect(node.outstanding(), node.concurrency().estimate().latency,
                                          context_.now);
     }
+    /// Time between two trial requests to a suspect.
+    [[nodiscard]] Micros trialInterval() const { return OutlierDetector::trialInterval(context_.settings); }
     /// Microseconds that an answer of mean size takes, as far as is known.
     [[nodiscard]] double expectedLatency(const Node& node) const {
         return node.concurrency().expectedLatency(context_.now, context_.latencyObjective);
@@ -93,7 +95,8 @@
     [[nodiscard]] ConcurrencyLimit::Conditions conditionsOf(const Node& node) const {
         const bool hasCell = node.info().cell.isBelow(cellCount());
         const KeyUsage* usage = hasCell ? cells()[node.info().cell.position()].usage : nullptr;
-        return {context_.now, context_.latencyObjective, usage ? usage_.ownShare(*usage) : 1};
+        return {context_.now, context_.latencyObjective, usage ? usage_.ownShare(*usage) : 1,
+                context_.settings.hostCount};
     }
     /// Listed nodes that get no requests, or only trial ones.
     [[nodiscard]] std::size_t avoidedNodes() const {
--- a/src/policy/dispatcher.cpp
+++ b/src/policy/dispatcher.cpp
@@ -48,7 +48,7 @@
     const Node& node = cluster_.node(index);
     if (!cluster_.acceptsRequests(node)) return false;
     if (cluster_.isSuspect(node)) {
-        if (!node.outliers().admitsTrial(context_.now)) return false;
+        if (!node.outliers().admitsTrial(cluster_.trialInterval(), context_.now)) return false;
     } else if (node.outstanding() > 0 && node.outstanding() + 1 > cluster_.attemptsAllowed(node)) {
         return false;
     }
--- a/src/policy/outlier_detector.cpp
+++ b/src/policy/outlier_detector.cpp
@@ -1,5 +1,7 @@
 #include "policy/outlier_detector.h"
 
+#include "wingproxy/slow_start_budget.h"
+
 namespace wingproxy {
 namespace {
 
@@ -7,9 +9,11 @@
 // nature.
 constexpr Micros kMinSilence = 400'000;
 constexpr double kSilenceLatencies = 4;
-constexpr Micros kTrialInterval = 300'000;  // a suspect gets one request this often, to show its recovery
-constexpr int kMaxFailures = 4;             // the ejection doubles with each up to this one
-constexpr double kErrorSmoothing = 0.2;     // weight of the newest answer
+// A suspect gets one request this often, to show its recovery.
+constexpr Micros kMinTrialInterval = 300'000;
+constexpr Micros kMaxTrialInterval = 1'200'000;
+constexpr int kMaxFailures = 4;          // the ejection doubles with each up to this one
+constexpr double kErrorSmoothing = 0.2;  // weight of the newest answer
 // A node of whose answers all are errors looks so many objectives slower to a new object, until its last sign
 // of life is so old.
 constexpr double kErrorObjectives = 4;
@@ -22,8 +26,13 @@
     return now < state_.ejectedUntil || (outstanding > 0 && double(now - state_.progressAt) > patience);
 }
 
-bool OutlierDetector::admitsTrial(Micros now) const { return now - state_.lastTrialAt >= kTrialInterval; }
-Micros OutlierDetector::trialInterval() { return kTrialInterval; }
+Micros OutlierDetector::trialInterval(const Settings& settings) {
+    const double rate = promisedUnitsPerSecond(settings);
+    if (rate <= 0) return kMinTrialInterval;
+    const double unitsOfAllHosts = std::max(settings.hostCount, 1) * settings.meanUnits;
+    const auto workedOffIn = Micros(unitsOfAllHosts / rate * 1e6);
+    return std::clamp(workedOffIn, kMinTrialInterval, kMaxTrialInterval);
+}
 
 double OutlierDetector::errorPenalty(double latencyObjective, Micros now) const {
     if (now - state_.progressAt >= kErrorMemory) return 0;
@@ -44,7 +53,7 @@
     state_.failures = std::min(state_.failures + 1, kMaxFailures);
     // A lone reset may be one damaged answer; those of a dead node follow each other.
     if (outcome == Outcome::Reset && state_.failures == 1) return false;
-    state_.ejectedUntil = now + (kTrialInterval << state_.failures) / 2;
+    state_.ejectedUntil = now + (kMinTrialInterval << state_.failures) / 2;
     return true;
 }
 
--- a/src/policy/outlier_detector.h
+++ b/src/policy/outlier_detector.h
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "policy/micros.h"
+#include "wingproxy/policy.h"
 
 namespace wingproxy {
 
@@ -36,9 +37,16 @@
     /// \param latency that the node usually takes, in microseconds; 0: unknown
     [[nodiscard]] bool isSuspect(int outstanding, double latency, Micros now) const;
     /// Whether a suspect may get one more trial request.
-    [[nodiscard]] bool admitsTrial(Micros now) const;
-    /// Least time between two trial requests, in microseconds.
-    static Micros trialInterval();
+    /// \param interval between two of them, in microseconds
+    [[nodiscard]] bool admitsTrial(Micros interval, Micros now) const {
+        return now - state_.lastTrialAt >= interval;
+    }
+    /// Time between two trial requests of one host, in microseconds.
+    ///
+    /// A silent node may only be slow, and works on what it was sent before: trials of all hosts together
+    /// must leave it time for that. The least is for nodes that have time enough; above the most, the hosts
+    /// would find out too late that a node works again.
+    static Micros trialInterval(const Settings& settings);
     /// Whether it was tried, or gave a sign of life, within `period`.
     [[nodiscard]] bool wasUsedWithin(Micros period, Micros now) const {
         return now - std::max(state_.lastTrialAt, state_.progressAt) < period;
@@ -58,7 +66,7 @@
 
     /// Its first outstanding request was sent: silence counts from now on.
     void onWorkBegan(Micros now) { state_.progressAt = now; }
-    /// A suspect was sent a request: the next one must wait for `trialInterval()`.
+    /// A suspect was sent a request: the next one must wait for `trialInterval`.
     void onTrialSent(Micros now) { state_.lastTrialAt = now; }
     /// A health check was sent because an answer is overdue.
     void onHealthCheckSent(Micros now) { state_.lastHealthCheckAt = now; }
--- a/tests/policy/concurrency_limit_test.cpp
+++ b/tests/policy/concurrency_limit_test.cpp
@@ -31,6 +31,20 @@
     EXPECT_EQ(attemptsAfterAnswer(200 * kMs), 1u);  // beyond 0.3 of the shortest latency objective
 }
 
+// Guards against the soak's seed 31: each of five hosts sent its first three requests at once to a node that
+// needed five seconds for them, and none came back in time.
+TEST(ConcurrencyLimit, BeforeTheFirstAnswerTheHostsShareTheLimitEvenly) {
+    const auto firstAttempts = [](int hosts) {
+        Host host = ready(settings(0, hosts));
+        std::vector<AnyEvent> run;
+        for (RequestId id = 1; id <= 6; ++id)
+            run.emplace_back(request(id, 0, 1, host.now));
+        return only<ForwardRequest>(host.batch(run)).size();
+    };
+    EXPECT_EQ(firstAttempts(1), 3u);
+    EXPECT_EQ(firstAttempts(5), 1u);
+}
+
 TEST(ConcurrencyLimit, RisesWhileAnswersAreQuickAndFallsWhileTheyAreSlow) {
     auto limit = ConcurrencyLimit::startingAt(kStart);
     Micros now = kStart;
--- a/tests/policy/outlier_detector_test.cpp
+++ b/tests/policy/outlier_detector_test.cpp
@@ -60,15 +60,31 @@
     EXPECT_TRUE(detector.onFailure(Outcome::Rejected, kStart, kStart));
     EXPECT_TRUE(detector.isSuspect(0, 0, kStart));
     EXPECT_GT(detector.ejectionLeft(kStart), 0);
-    EXPECT_TRUE(detector.admitsTrial(kStart));
+    const Micros interval = OutlierDetector::trialInterval(settings());
+    EXPECT_TRUE(detector.admitsTrial(interval, kStart));
     detector.onTrialSent(kStart);
-    EXPECT_FALSE(detector.admitsTrial(kStart + OutlierDetector::trialInterval() - 1));
-    EXPECT_TRUE(detector.admitsTrial(kStart + OutlierDetector::trialInterval()));
+    EXPECT_FALSE(detector.admitsTrial(interval, kStart + interval - 1));
+    EXPECT_TRUE(detector.admitsTrial(interval, kStart + interval));
     detector.onAnswer(false, kStart, kStart + kMs);
     EXPECT_FALSE(detector.isSuspect(0, 0, kStart + kMs));
     EXPECT_EQ(detector.ejectionLeft(kStart + kMs), 0);
 }
 
+// Guards against the soak's seeds 16, 31 and 4001: trials of all hosts kept a slow node busy with work that
+// was always answered too late.
+TEST(OutlierDetector, TrialsOfAllHostsLeaveTheSlowestNodeTimeToAnswerThem) {
+    Settings quick = settings(0, 1);
+    quick.meanUnits = 2;  // the settings promise 12 units a second
+    EXPECT_EQ(OutlierDetector::trialInterval(quick), 300 * kMs);
+    Settings shared = settings(0, 4);
+    shared.meanUnits = 2;
+    EXPECT_EQ(OutlierDetector::trialInterval(shared), 4 * 2 * kSecond / 12);
+    EXPECT_EQ(OutlierDetector::trialInterval(settings(0, 300)), 1'200 * kMs);
+    Settings unknown = settings(0, 4);
+    unknown.slowStartWindowUs = 0;
+    EXPECT_EQ(OutlierDetector::trialInterval(unknown), 300 * kMs);
+}
+
 TEST(OutlierDetector, SuspectsANodeThatIsSilentWithWorkOutstanding) {
     const auto detector = OutlierDetector::startingAt(kStart);
     EXPECT_FALSE(detector.isSuspect(0, 0, kStart + kSecond));
