--- a/src/net/session_manager.cpp
+++ b/src/net/session_manager.cpp
@@ -9,8 +9,8 @@
 
 using boost::asio::ip::tcp;
 
-// Also the delay with which a disconnect is noticed where nothing is read from the client. The platform's terms
-// let no attempt begin more than 0.1 s after that: half of it is left for a busy loop.
+// Also the delay with which a disconnect is noticed where nothing is read from the client. The platform's
+// terms let no attempt begin more than 0.1 s after that: half of it is left for a busy loop.
 constexpr std::chrono::milliseconds kSweepInterval{50};
 
 }  // namespace
--- a/tests/soak/fault_schedule.cpp
+++ b/tests/soak/fault_schedule.cpp
@@ -8,6 +8,7 @@
 constexpr milliseconds kQuietEnd{500};
 constexpr int kMostMoveMs = 8;  // by which a play moves each fault, to both sides
 constexpr std::size_t kCrowdClients = 160;
+constexpr milliseconds kCrowdDispersal{300};  // until the front has seen all of them go
 constexpr milliseconds kHoldUp{130};  // a process may be held up for 0.15 s, the signals' own way included
 constexpr int kHoldUpsInSeries = 3;
 constexpr milliseconds kBetweenHoldUps{200};
@@ -76,7 +77,7 @@
     for (int i = 0; i < count; ++i) {
         milliseconds at = kQuietStart + milliseconds(random_() % std::uint64_t(spread));
         if (plan_.play > 0) at += milliseconds(std::int64_t(moves_() % (2 * kMostMoveMs + 1)) - kMostMoveMs);
-        later(at, [this, inject, seed = random_()] {
+        later(at, [inject, seed = random_()] {
             Random random(seed);
             inject(random);
         });
@@ -182,7 +183,9 @@
     if (!front.serves()) return;
     note(fmt::format("front {} is held up", front.index));
     front.process->signal(SIGSTOP);
+    front.heldUpUntil = Clock::now() + kHoldUp;
     later(kHoldUp, [this, &front] {
+        front.heldUpUntil = Clock::now();
         if (front.process) front.process->signal(SIGCONT);
         note(fmt::format("front {} goes on", front.index));
     });
@@ -236,7 +239,6 @@
 
 void FaultSchedule::crowd(Random& random) {
     constexpr milliseconds kDuration{1'200};
-    constexpr milliseconds kDispersal{300};  // until the front has seen all of them go
     Front& front = anyFront(random);
     if (!front.serves() || front.state.terminating) return;
     note(fmt::format("{} idle clients come to front {}", kCrowdClients, front.index));
@@ -245,7 +247,7 @@
     front.state.crowded = true;
     later(kDuration, [this, &front] {
         front.crowd.clear();
-        later(kDispersal, [&front] { front.state.crowded = false; });
+        later(kCrowdDispersal, [&front] { front.state.crowded = false; });
     });
 }
 
--- a/tests/soak/request_trace.cpp
+++ b/tests/soak/request_trace.cpp
@@ -53,17 +53,18 @@
     const Observations& observations = fleet.observations();
     std::vector<std::string> trace;
     addSeen(trace, violation, observations);
+    // Of a node in slow start the lines on it, of anything else those on shutdowns.
     const bool isSlowStart = violation.what.find("in slow start") != std::string::npos;
+    const std::string wanted = isSlowStart ? "slow start of" : "info: stopping: ";
     for (const auto& front : fleet.fronts())
         for (int start = 0; start < front->starts; ++start) {
             const std::vector<std::string> lines = linesOf(*front, start);
-            if (!violation.request.empty())
-                for (const std::string& line : wayThrough(lines, violation.request, observations))
-                    trace.push_back(fmt::format("front {} process {}: {}", front->index, start, line));
-            for (const std::string& line : lines)
-                if ((isSlowStart && line.find("slow start of") != std::string::npos) ||
-                    (!isSlowStart && line.find("info: stopping: ") == 0))
-                    trace.push_back(fmt::format("front {} process {}: {}", front->index, start, line));
+            std::vector<std::string> chosen;
+            if (!violation.request.empty()) chosen = wayThrough(lines, violation.request, observations);
+            std::copy_if(lines.begin(), lines.end(), std::back_inserter(chosen),
+                         [&](const std::string& line) { return line.find(wanted) != std::string::npos; });
+            for (const std::string& line : chosen)
+                trace.push_back(fmt::format("front {} process {}: {}", front->index, start, line));
         }
     return trace;
 }
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -7,6 +7,9 @@
 constexpr milliseconds kMostDeadlineBeforeKill{3'000};
 constexpr milliseconds kKillAfterDeadline{700};  // SIGKILL comes so long after the longest deadline
 constexpr milliseconds kDownTime{300};
+// A process ends 0.12 s before SIGKILL. One that is held up in the last 0.3 s may be late, and owes no
+// answer.
+constexpr milliseconds kEndPhases{300};
 constexpr int kCrowdDescriptors = 128;
 
 // Short, so that a run of some seconds has many windows, drains and shutdowns.
@@ -126,21 +129,29 @@
         if (front.restartAt && Clock::now() >= *front.restartAt) startProcess(front);
         return;
     }
-    if (!front.isReady && front.process->hasLogged("listens on 127.0.0.1:")) {
-        front.isReady = true;
-        front.state.acceptsNew = true;
-        if (front.faults->attached == 0) observations_.violate("the fault shim was not loaded");
-    }
+    if (!front.isReady) noteReady(front);
     if (front.acceptsUntil && Clock::now() >= *front.acceptsUntil) front.state.acceptsNew = false;
     if (!front.process->running()) return onExit(front);
-    if (front.killAt && Clock::now() >= *front.killAt) {
-        ++result_.killedAfterTerm;
-        if (!waitingRequest.empty())
-            observations_.violate(
-                fmt::format("SIGKILL finds a request at front {} without its answer", front.index),
-                waitingRequest);
-        kill(front);
-    }
+    if (front.killAt && Clock::now() >= *front.killAt) onKillTime(front, waitingRequest);
+}
+
+void Fleet::noteReady(Front& front) {
+    if (!front.process->hasLogged("listens on 127.0.0.1:")) return;
+    front.isReady = true;
+    front.state.acceptsNew = true;
+    if (front.faults->attached == 0) observations_.violate("the fault shim was not loaded");
+}
+
+void Fleet::onKillTime(Front& front, const std::string& waitingRequest) {
+    ++result_.killedAfterTerm;
+    if (front.heldUpUntil < *front.killAt - kEndPhases)
+        observations_.violate(
+            fmt::format("front {} is alive at SIGKILL, and was not held up in the time before", front.index));
+    if (!waitingRequest.empty())
+        observations_.violate(
+            fmt::format("SIGKILL finds a request at front {} without its answer", front.index),
+            waitingRequest);
+    kill(front);
 }
 
 void Fleet::onExit(Front& front) {
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -27,6 +27,7 @@
     std::optional<Clock::time_point> killAt;        ///< likewise
     std::optional<Clock::time_point> restartAt;
     bool isReady = false;
+    Clock::time_point heldUpUntil{};  ///< when its process last went on after a stop
     std::deque<test::TestConnectionPtr> crowd;
 
     /// Whether signals reach a process that serves.
@@ -88,6 +89,8 @@
     std::string configOf(std::size_t index);
     void startProcess(Front& front);
     void poll(Front& front, const std::string& waitingRequest);
+    void noteReady(Front& front);
+    void onKillTime(Front& front, const std::string& waitingRequest);
     void onExit(Front& front);
     void takeDown(Front& front);
     Node& addNode(int cell, bool isStarting);
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -21,10 +21,10 @@
     std::size_t crossed = 0;    ///< sent again, as the connection was closed unread
     std::size_t left = 0;       ///< whose client went away
     std::size_t attempts = 0;
-    std::size_t faults = 0;                 ///< that were injected
-    std::size_t killedAfterTerm = 0;        ///< had not ended when SIGKILL came: nothing may be owed then
-    double fullestWindow = 0;               ///< see Observations::fullestWindow
-    std::chrono::milliseconds longestTurn;  ///< of the loop that observes
+    std::size_t faults = 0;                    ///< that were injected
+    std::size_t killedAfterTerm = 0;           ///< had not ended when SIGKILL came: nothing may be owed then
+    double fullestWindow = 0;                  ///< see Observations::fullestWindow
+    std::chrono::milliseconds longestTurn{0};  ///< of the loop that observes
 };
 
 /// Plays one plan for so long. Uses some processes on loopback and ends them.
