--- a/src/net/hold_up_detector.h
+++ b/src/net/hold_up_detector.h
@@ -16,6 +16,7 @@
     /// The longest hold-up that the platform's time limits allow for.
     static constexpr std::chrono::milliseconds kMaxHoldUp{150};
 
+    /// \param now the process runs
     explicit HoldUpDetector(TimePoint now) : lastRunningAt_(now) {}
 
     /// The process runs. To be called every 10 ms or so.
--- a/src/policy/cluster_view.cpp
+++ b/src/policy/cluster_view.cpp
@@ -91,8 +91,7 @@
     // It started before this process, in whose time no list has been without it: its age is the clocks' word
     // alone, and an earlier process of this host may have sent what this one does not know of.
     if (now - start.at < settings.slowStartDurationUs)
-        start.usableSince =
-            context_.startedAt + settings.slowStartWindowUs + slowStartArrivalSpread(settings);
+        start.usableSince = context_.startedAt + slowStartHostWindow(settings);
     start.at = context_.startedAt;
     return start;
 }
--- a/src/policy/cluster_view.h
+++ b/src/policy/cluster_view.h
@@ -113,8 +113,7 @@
     void onUnitsSent(Node& node, double units) {
         const Settings& settings = context_.settings;
         if (settings.slowStartWindowUs <= 0) return;
-        const Micros memory = settings.slowStartWindowUs + slowStartArrivalSpread(settings);
-        node.slowStart().onSent(units, memory, context_.now);
+        node.slowStart().onSent(units, slowStartHostWindow(settings), context_.now);
     }
     /// A peer reported how long requests wait in a cell.
     void onWaitReported(CellIndex cell, double waitUs) {
--- a/src/policy/slow_start.cpp
+++ b/src/policy/slow_start.cpp
@@ -54,7 +54,10 @@
 
 }  // namespace
 
-Micros slowStartArrivalSpread(const Settings& settings) { return settings.connectTimeoutUs + kMaxHoldUp; }
+Micros slowStartHostWindow(const Settings& settings) {
+    const Micros arrivalSpread = settings.connectTimeoutUs + kMaxHoldUp;
+    return settings.slowStartWindowUs + arrivalSpread;
+}
 
 void SlowStartLimiter::restart(Micros startedAt, double phase) {
     std::erase_if(state_.window.samples, [&](const SlowStartWindow::Sample& sample) {
@@ -67,8 +70,7 @@
                                                const SlowStartConditions& conditions, Micros now) const {
     const double hosts = std::max(settings.hostCount, 1);
     const double fixed = fixedUnits(settings, slowStartBudget(settings, conditions.age), hosts);
-    SlowStartAllowance allowance{0, settings.slowStartWindowUs + slowStartArrivalSpread(settings),
-                                 conditions.usableSince};
+    SlowStartAllowance allowance{0, slowStartHostWindow(settings), conditions.usableSince};
     if (!conditions.peers || fixed / hosts >= settings.meanUnits) {
         const double completed = state_.window.sums(settings.slowStartWindowUs, now).completed;
         allowance.units = fixed / hosts + unitsPerCompleted(settings) * completed;
--- a/src/policy/slow_start.h
+++ b/src/policy/slow_start.h
@@ -30,10 +30,10 @@
     Micros usableSince = 0;  ///< before this time nothing may be sent
 };
 
-/// How long after the decision to send them requests may still arrive at their node, in microseconds: a
-/// connection has to be opened, and a process may be held up. Windows are longer by as much, so that no
-/// window of the node is fuller than one of this host's.
-[[nodiscard]] Micros slowStartArrivalSpread(const Settings& settings);
+/// The window over which a host counts what it sends to a node in slow start, in microseconds. It is longer
+/// than the node's by how long after the decision to send them requests may still arrive (a connection has to
+/// be opened, and a process may be held up), so that no window of the node is fuller than one of this host's.
+[[nodiscard]] Micros slowStartHostWindow(const Settings& settings);
 
 /// All hosts together must not overload a node that is warming up, whatever they hear of each other, however
 /// the node answers, and whatever this process did before it started.
