--- a/src/policy/cluster_view.h
+++ b/src/policy/cluster_view.h
@@ -95,8 +95,13 @@
     [[nodiscard]] ConcurrencyLimit::Conditions conditionsOf(const Node& node) const {
         const bool hasCell = node.info().cell.isBelow(cellCount());
         const KeyUsage* usage = hasCell ? cells()[node.info().cell.position()].usage : nullptr;
-        return {context_.now, context_.latencyObjective, usage ? usage_.ownShare(*usage) : 1,
-                context_.settings.hostCount};
+        return {context_.now, context_.latencyObjective, usage ? usage_.ownShare(*usage) : 1, beginners()};
+    }
+    /// Hosts that may all have begun just now. All hosts of a fleet often start together; some time later the
+    /// demand of the others is known, as far as they tell it.
+    [[nodiscard]] int beginners() const {
+        const bool hasBegun = context_.now - context_.startedAt >= kRateMemory;
+        return hasBegun ? 1 : std::max(context_.settings.hostCount, 1);
     }
     /// Listed nodes that get no requests, or only trial ones.
     [[nodiscard]] std::size_t avoidedNodes() const {
--- a/src/policy/concurrency_limit.cpp
+++ b/src/policy/concurrency_limit.cpp
@@ -44,7 +44,8 @@
 double ConcurrencyLimit::attemptsAllowed(const Conditions& conditions) const {
     const bool isLong =
         expectedLatency(conditions.now, conditions.objective) > kLongLatencyPart * conditions.objective;
-    if (state_.estimate.latency <= 0) return std::max(1.0, state_.limit / std::max(conditions.hosts, 1));
+    if (state_.estimate.latency <= 0 && conditions.beginners > 1)
+        return std::max(1.0, state_.limit / conditions.beginners);
     return std::max(isLong ? kMinWhileSlow : kMinWhileQuick, state_.limit * conditions.ownShare);
 }
 
--- a/src/policy/concurrency_limit.h
+++ b/src/policy/concurrency_limit.h
@@ -25,7 +25,7 @@
         Micros now = 0;
         double objective = 0;  ///< shortest latency objective
         double ownShare = 1;   ///< this host's part of what the node's cell is asked for, from 0 to 1
-        int hosts = 1;         ///< that may send to the node
+        int beginners = 1;     ///< hosts that may all begin to send just now, this one included
     };
     /// An answer of the node.
     struct Answer {
@@ -44,9 +44,9 @@
     [[nodiscard]] double expectedLatency(Micros now, double objective) const;
     /// This host's part of the limit. At least one attempt; what many hosts may pile up that way is held down
     /// by the longest latency that each request accepts. At least two at a node with short latency: a
-    /// volume's run of reads would else leave one by one and be too late at an idle node. Before the first
-    /// answer the hosts share the limit evenly, as none knows yet what the others are asked for: what a slow
-    /// node gets too much in the beginning makes all its later answers late.
+    /// volume's run of reads would else leave one by one and be too late at an idle node. Hosts that
+    /// begin at once share the limit evenly before the first answer, as none knows yet what the others are
+    /// asked for: what a slow node gets too much in the beginning makes all its later answers late.
     [[nodiscard]] double attemptsAllowed(const Conditions& conditions) const;
     /// Units a second that this host may expect from the node.
     [[nodiscard]] double unitsPerSecond(const Conditions& conditions) const;
