--- a/tests/policy/outlier_detector_test.cpp
+++ b/tests/policy/outlier_detector_test.cpp
@@ -78,7 +78,7 @@
     EXPECT_EQ(OutlierDetector::trialInterval(quick), 300 * kMs);
     Settings shared = settings(0, 4);
     shared.meanUnits = 2;
-    EXPECT_EQ(OutlierDetector::trialInterval(shared), 4 * 2 * kSecond / 12);
+    EXPECT_EQ(OutlierDetector::trialInterval(shared), 8 * kSecond / 12);
     EXPECT_EQ(OutlierDetector::trialInterval(settings(0, 300)), 1'200 * kMs);
     Settings unknown = settings(0, 4);
     unknown.slowStartWindowUs = 0;
