--- a/tests/soak/fault_schedule.h
+++ b/tests/soak/fault_schedule.h
@@ -16,7 +16,7 @@
     void runDue();
     /// What was injected so far, a line each.
     [[nodiscard]] const std::vector<std::string>& injected() const { return injected_; }
-    /// How many of them were planned from the start.
+    /// How many lines that is; the end of a hold-up is one too.
     [[nodiscard]] std::size_t count() const { return injected_.size(); }
 
 private:
