--- a/review/stand_ins/stand_ins.h
+++ b/review/stand_ins/stand_ins.h
@@ -218,13 +218,14 @@
         bytes_.erase(0, end + 4);
         return head;
     }
-    /// Appends `count` bytes to `body`; false if the connection ended first.
+    /// Appends `count` bytes to `body`, or what there is; false if the connection ended first.
     bool exactly(std::size_t count, std::string& body) {
-        while (bytes_.size() < count)
-            if (!fill()) return false;
+        bool complete = true;
+        while (bytes_.size() < count && complete)
+            complete = fill();
         body.append(bytes_, 0, count);
         bytes_.erase(0, count);
-        return true;
+        return complete;
     }
     /// The whole body that the head announces, by its length or in chunks; false if it is not whole.
     bool body(const Head& head, std::string& body) {
