--- a/review/run_case.sh
+++ b/review/run_case.sh
@@ -14,4 +14,5 @@
 timeout -k 2 110 "build/review/$2" "$case_folder" "$folder" "$run"
 code=$?
 [ "$code" -le 2 ] || code=2
+[ "$code" -ne 2 ] || tail -n 5 "$folder"/*.log >&2
 exit "$code"
--- a/review/stand_ins/leaving_process.cpp
+++ b/review/stand_ins/leaving_process.cpp
@@ -1,7 +1,7 @@
 /// \file
-/// Case 2: clients keep using the connections that they have to the old process of an upgrade, and ask for long answers that
-/// take their chunk server some seconds. Does each of them get its answer whole, although the platform kills the old
-/// process when its time is over?
+/// Case 2: clients keep using the connections that they have to the old process of an upgrade, and ask for
+/// long answers that take their chunk server some seconds. Does each of them get its answer whole, although
+/// the platform kills the old process when its time is over?
 #include "stand_ins.h"
 
 namespace {
@@ -41,11 +41,12 @@
         record.line("node: runs %s", id.c_str());
         const std::string body = longAnswer(id);
         sleepFor(kFirstByte);
-        bool open =
-            connection.sendAll("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n");
+        bool open = connection.sendAll("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+                                       "\r\n\r\n");
         for (int i = 0; i < kPieces && open; ++i) {
             if (i > 0 && connection.isReadableWithin(kBetweenPieces)) open = false;
-            open = open && connection.sendAll(std::string_view(body).substr(std::size_t(i) * kPieceBytes, kPieceBytes));
+            open = open && connection.sendAll(
+                               std::string_view(body).substr(std::size_t(i) * kPieceBytes, kPieceBytes));
             if (!open) record.line("node: %s: cut off after piece %d of %d", id.c_str(), i, kPieces);
         }
         if (!open) return;
@@ -74,8 +75,8 @@
         const auto head = reader.head();
         return head && head->status() == 200 && reader.body(*head, body);
     }
-    /// Asks for a long answer. If the front ended the connection without a byte of an answer, the request may have
-    /// crossed that end: it is sent once more on a new connection.
+    /// Asks for a long answer. If the front ended the connection without a byte of an answer, the request may
+    /// have crossed that end: it is sent once more on a new connection.
     void ask(Result& result) {
         result.askedAt = now();
         for (int tries = 0; tries < 2; ++tries) {
@@ -117,7 +118,8 @@
     const Listening discovery;
     serveDiscovery(discovery, servers);
     const Listening clients;  // the platform holds the clients' listening socket
-    const std::string config = arguments.writeFile("config.json", configuration(clients.port, discovery.port, servers, 1));
+    const std::string config =
+        arguments.writeFile("config.json", configuration(clients.port, discovery.port, servers, 1));
     const std::string shared = arguments.temporary + "/shared";
     ::mkdir(shared.c_str(), 0700);
     const auto variables = [&](std::uint16_t operators) {
@@ -129,14 +131,17 @@
     if (!waitUntilOk(oldOperators, "/_ready", 30)) couldNotRun("the first process does not get ready");
     std::vector<Client> resting;
     for (std::size_t i = 0; i < std::size(kAskAt); ++i)
-        if (!resting.emplace_back(clients.port).readQuickly()) couldNotRun("the first process does not serve");
+        if (!resting.emplace_back(clients.port).readQuickly())
+            couldNotRun("the first process does not serve");
     record.line("platform: the first process serves, %zu clients rest on their connections", resting.size());
 
     std::optional<Front> successor;
     if (arguments.withTrouble) {
         const std::uint16_t newOperators = freePort();
-        successor.emplace(arguments.run, variables(newOperators), arguments.temporary + "/new.log", clients.socket.get());
-        if (!waitUntilOk(newOperators, "/_ready", 6)) couldNotRun("the second process does not get ready within 6 s");
+        successor.emplace(arguments.run, variables(newOperators), arguments.temporary + "/new.log",
+                          clients.socket.get());
+        if (!waitUntilOk(newOperators, "/_ready", 6))
+            couldNotRun("the second process does not get ready within 6 s");
         record.line("platform: the second process says yes; SIGTERM to the first");
         old.signal(SIGTERM);
     }
@@ -165,8 +170,9 @@
         // A refusal or a failure that is said is a final answer.
         const bool isLost = !result.isWhole && (result.status == 200 || result.status == 0);
         lost += isLost ? 1 : 0;
-        record.line("client: %s, asked %.2f s after SIGTERM%s: %s, status %d, %zu bytes of %zu", result.id.c_str(),
-                    result.askedAt - terminatedAt, result.wasSentAgain ? ", sent again on a new connection" : "",
+        record.line("client: %s, asked %.2f s after SIGTERM%s: %s, status %d, %zu bytes of %zu",
+                    result.id.c_str(), result.askedAt - terminatedAt,
+                    result.wasSentAgain ? ", sent again on a new connection" : "",
                     isLost ? "LOST" : "answered", result.status, result.bytes, kPieces * kPieceBytes);
     }
     record.line("platform: %zu requests, %d lost", results.size(), lost);
--- a/review/stand_ins/long_upload.cpp
+++ b/review/stand_ins/long_upload.cpp
@@ -1,6 +1,6 @@
 /// \file
-/// Case 1: clients write long bodies whole while the chunk server hangs in the middle of one. Is each such request
-/// answered in time?
+/// Case 1: clients write long bodies whole while the chunk server hangs in the middle of one. Is each such
+/// request answered in time?
 #include <linux/sockios.h>
 #include <sys/ioctl.h>
 
@@ -20,8 +20,8 @@
 constexpr int kNodeReceiveBuffer = 16 * 1024;
 constexpr int kClientSendBuffer = 4 * 1024;
 constexpr int kBytesBeforeHang = 8 * 1024;
-/// Sizes of the bodies. Of some of them the last bytes wait on the front's machine when the chunk server hangs; which
-/// ones depends on the system's buffers, so that the sizes lie close where that is usual.
+/// Sizes of the bodies. Of some of them the last bytes wait on the front's machine when the chunk server
+/// hangs; which ones depends on the system's buffers, so that the sizes lie close where that is usual.
 struct Sizes {
     std::size_t first;
     std::size_t last;
@@ -29,6 +29,8 @@
 };
 constexpr Sizes kSizes[] = {{128'000, 420'000, 4'000}, {440'000, 1'000'000, 20'000}};
 
+constexpr double kBetweenClients = 0.003;
+
 /// Whether the chunk server hangs: it reads nothing more and says nothing, on any connection.
 std::atomic<bool> isHanging{false};
 
@@ -37,8 +39,8 @@
         sleepFor(1);
 }
 
-/// A chunk server: reads a request, works 20 ms and answers. With the disruption it hangs in the middle of the first
-/// long body.
+/// A chunk server: reads a request, works 20 ms and answers. With the disruption it hangs in the middle of
+/// the first long body.
 void serveNode(const Socket& connection, bool hangs) {
     Reader reader(connection);
     hangIfHanging();
@@ -52,7 +54,8 @@
         std::string body;
         if (hangs && !id.empty()) {
             reader.exactly(kBytesBeforeHang, body);
-            if (!isHanging.exchange(true)) record.line("node: hangs in the middle of %s, for the rest of the test", id.c_str());
+            if (!isHanging.exchange(true))
+                record.line("node: hangs in the middle of %s, for the rest of the test", id.c_str());
             hangIfHanging();
         }
         if (!reader.body(*head, body)) {
@@ -76,7 +79,7 @@
     bool closed = false;
 };
 
-void upload(std::uint16_t port, Upload& upload) {
+void send(std::uint16_t port, Upload& upload) {
     Socket socket = newSocket();
     socket.set(IPPROTO_TCP, TCP_MAXSEG, kSegmentBytes);
     socket.set(SOL_SOCKET, SO_SNDBUF, kClientSendBuffer);
@@ -93,15 +96,16 @@
         pollfd wait{socket.get(), short(POLLIN | (written < bytes.size() ? POLLOUT : 0)), 0};
         ::poll(&wait, 1, 5);
         if (written < bytes.size()) {
-            const auto count = ::send(socket.get(), bytes.data() + written, bytes.size() - written, MSG_NOSIGNAL);
+            const auto count =
+                ::send(socket.get(), bytes.data() + written, bytes.size() - written, MSG_NOSIGNAL);
             if (count > 0) written += std::size_t(count);
         }
         int unacknowledged = 0;
-        if (!upload.takenAt && written == bytes.size() && ::ioctl(socket.get(), SIOCOUTQ, &unacknowledged) == 0 &&
-            unacknowledged == 0) {
+        if (!upload.takenAt && written == bytes.size() &&
+            ::ioctl(socket.get(), SIOCOUTQ, &unacknowledged) == 0 && unacknowledged == 0) {
             upload.takenAt = now();
-            record.line("client: %s taken: its last byte is on the front's machine (%zu bytes)", upload.id.c_str(),
-                        upload.bytes);
+            record.line("client: %s taken: its last byte is on the front's machine (%zu bytes)",
+                        upload.id.c_str(), upload.bytes);
         }
         if ((wait.revents & (POLLIN | POLLHUP | POLLERR)) == 0) continue;
         char piece[4096];
@@ -111,7 +115,8 @@
         const std::size_t end = received.find("\r\n\r\n");
         if (end == std::string::npos) continue;
         const Head head{received.substr(0, end + 2)};
-        if (received.size() < end + 4 + std::size_t(std::atol(head.field("Content-Length").c_str()))) continue;
+        if (received.size() < end + 4 + std::size_t(std::atol(head.field("Content-Length").c_str())))
+            continue;
         upload.status = head.status();
         upload.answeredAt = now();
     }
@@ -120,8 +125,8 @@
 /// Whether the rule is broken for one upload.
 bool isLost(const Upload& upload) {
     if (!upload.takenAt && upload.answeredAt) {
-        record.line("client: %s (%zu bytes): %d before the test saw it taken", upload.id.c_str(), upload.bytes,
-                    upload.status);
+        record.line("client: %s (%zu bytes): %d before the test saw it taken", upload.id.c_str(),
+                    upload.bytes, upload.status);
         return false;
     }
     if (!upload.takenAt) {
@@ -130,14 +135,15 @@
         return false;
     }
     if (!upload.answeredAt) {
-        record.line("client: %s (%zu bytes): LOST, no answer within %.2f s of its last byte%s", upload.id.c_str(),
-                    upload.bytes, kBound + kWatchedFor, upload.closed ? ", the connection was closed" : "");
+        record.line("client: %s (%zu bytes): LOST, no answer within %.2f s of its last byte%s",
+                    upload.id.c_str(), upload.bytes, kBound + kWatchedFor,
+                    upload.closed ? ", the connection was closed" : "");
         return true;
     }
     const double after = *upload.answeredAt - *upload.takenAt;
     const bool late = after > kBound;
-    record.line("client: %s (%zu bytes): %s%d after %.3f s", upload.id.c_str(), upload.bytes, late ? "LOST, " : "",
-                upload.status, after);
+    record.line("client: %s (%zu bytes): %s%d after %.3f s", upload.id.c_str(), upload.bytes,
+                late ? "LOST, " : "", upload.status, after);
     return late;
 }
 
@@ -162,9 +168,13 @@
     for (const Sizes& sizes : kSizes)
         for (std::size_t bytes = sizes.first; bytes <= sizes.last; bytes += sizes.step)
             uploads.emplace_back(bytes);
+    // The longest first: a body that the front has read whole holds a place at the chunk server, and the
+    // front refuses what finds no place there.
     std::vector<std::thread> clients;
-    for (Upload& each : uploads)
-        clients.emplace_back([&each, port] { upload(port, each); });
+    for (auto each = uploads.rbegin(); each != uploads.rend(); ++each) {
+        clients.emplace_back([&upload = *each, port] { send(port, upload); });
+        sleepFor(kBetweenClients);
+    }
     for (std::thread& client : clients)
         client.join();
     int lost = 0;
--- a/review/stand_ins/slow_answer.cpp
+++ b/review/stand_ins/slow_answer.cpp
@@ -6,8 +6,8 @@
 
 using namespace review;
 
-constexpr int kRequests = 4;      // of each kind, at the same time
-constexpr double kBound = 20;     // seconds that a client waits at most for the rest of an answer that has begun
+constexpr int kRequests = 4;   // of each kind, at the same time
+constexpr double kBound = 20;  // seconds that a client waits at most for the rest of an answer that has begun
 constexpr double kFirstByte = 0.02;
 
 /// How a chunk server writes an answer.
@@ -26,7 +26,8 @@
 constexpr Pace kPaces[] = {
     {"in chunks of 1 KiB, one each 40 ms", "lectura", 1500, 0, 1024, 120, 0.04, true},
     {"in chunks of 16 KiB, one each 0.5 s", "exportacion", 5000, 1, std::size_t{16} * 1024, 8, 0.5, true},
-    {"with a Content-Length, 16 KiB each 0.5 s (to compare)", "exportacion", 5000, 2, std::size_t{16} * 1024, 8, 0.5, false},
+    {"with a Content-Length, 16 KiB each 0.5 s (to compare)", "exportacion", 5000, 2, std::size_t{16} * 1024,
+     8, 0.5, false},
 };
 
 std::string pieceOf(const std::string& id, int number, std::size_t bytes) {
@@ -84,7 +85,9 @@
         open = connection.sendAll(pace.inChunks ? chunkOf(piece) : piece);
         // Between two pieces the front has nothing to say: what is readable is the end of the connection.
         if (slowly && open && connection.isReadableWithin(pace.pause)) open = false;
-        if (!open) record.line("node: %s: cut off by the front after piece %d of %d", id.c_str(), i + 1, pace.pieces);
+        if (!open)
+            record.line("node: %s: cut off by the front after piece %d of %d", id.c_str(), i + 1,
+                        pace.pieces);
     }
     if (open && pace.inChunks) open = connection.sendAll("0\r\n\r\n");
     return open;
@@ -98,7 +101,8 @@
             if (!connection.sendAll(answer(200, "queue=0"))) return;
             continue;
         }
-        record.line("node: runs %s, first byte in %.0f ms, answer %s", id.c_str(), kFirstByte * 1000, pace.name);
+        record.line("node: runs %s, first byte in %.0f ms, answer %s", id.c_str(), kFirstByte * 1000,
+                    pace.name);
         if (!writeAnswer(connection, id, pace, slowly)) {
             cutOff.add(id);
             return;
@@ -122,7 +126,8 @@
     const timeval limit{int(kBound), 0};
     ::setsockopt(socket->get(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
     const double sentAt = now();
-    socket->sendAll(ClientRequest{result.id, result.pace->kind, result.pace->cell, result.pace->deadlineMs}.head());
+    socket->sendAll(
+        ClientRequest{result.id, result.pace->kind, result.pace->cell, result.pace->deadlineMs}.head());
     Reader reader(*socket);
     const auto head = reader.head();
     std::string body;
@@ -172,14 +177,20 @@
         const bool isLost = !each.isWhole && timesCutOff > 0;
         lost += isLost ? 1 : 0;
         whole += each.isWhole ? 1 : 0;
-        record.line("client: %s: %s, cut off %d times at the chunk server, status %d, %zu bytes of %zu after %.2f s; answer %s",
-                    each.id.c_str(), isLost ? "LOST" : each.isWhole ? "whole" : "not served", timesCutOff, each.status,
-                    each.bytes, each.pace->pieceBytes * std::size_t(each.pace->pieces), each.seconds, each.pace->name);
+        record.line(
+            "client: %s: %s, cut off %d times at the chunk server, status %d, %zu bytes of %zu after %.2f s; "
+            "answer %s",
+            each.id.c_str(),
+            isLost         ? "LOST"
+            : each.isWhole ? "whole"
+                           : "not served",
+            timesCutOff, each.status, each.bytes, each.pace->pieceBytes * std::size_t(each.pace->pieces),
+            each.seconds, each.pace->name);
     }
     if (lost + whole == 0) couldNotRun("no answer began");
     if (!front.isRunning()) couldNotRun("the front ended");
-    record.line("platform: %zu requests, %d lost; %d answers cut off at the chunk servers", downloads.size(), lost,
-                cutOff.sum());
+    record.line("platform: %zu requests, %d lost; %d answers cut off at the chunk servers", downloads.size(),
+                lost, cutOff.sum());
     return conclude(lost, "what the chunk server still gives of a long answer is not cut off");
 }
 
--- a/review/stand_ins/stand_ins.h
+++ b/review/stand_ins/stand_ins.h
@@ -1,6 +1,7 @@
 /// \file
-/// Small stand-ins for the cases of the review: the record of a run, HTTP over blocking sockets, a discovery service,
-/// a client and the platform that starts and ends the front's processes. One thread a connection; loopback only.
+/// Small stand-ins for the cases of the review: the record of a run, HTTP over blocking sockets, a discovery
+/// service, a client and the platform that starts and ends the front's processes. One thread a connection;
+/// loopback only.
 #pragma once
 
 #include <arpa/inet.h>
@@ -172,8 +173,21 @@
     std::uint16_t port = 0;
 };
 
-/// A port that was free a moment ago, for a process that binds it itself.
-inline std::uint16_t freePort() { return Listening().port; }
+/// A port that is free, for a process that binds it itself. It is below the system's ephemeral ports, so that
+/// no connection takes it meanwhile.
+inline std::uint16_t freePort() {
+    constexpr int kFirst = 20'000;
+    constexpr int kCount = 12'000;
+    static int next = ::getpid() * 61 % kCount;
+    for (int tries = 0; tries < kCount; ++tries) {
+        const auto port = std::uint16_t(kFirst + next++ % kCount);
+        const Socket socket = newSocket();
+        const sockaddr_in address = loopback(port);
+        if (::bind(socket.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0)
+            return port;
+    }
+    couldNotRun("no free port");
+}
 
 // --------------------------------------------------------------------------------------------------- HTTP
 
@@ -187,7 +201,8 @@
             const std::size_t begin = at + 2;
             const std::size_t colon = text.find(':', begin);
             if (colon == std::string::npos) break;
-            if (colon - begin != name.size() || ::strncasecmp(text.data() + begin, name.data(), name.size()) != 0)
+            if (colon - begin != name.size() ||
+                ::strncasecmp(text.data() + begin, name.data(), name.size()) != 0)
                 continue;
             const std::size_t end = text.find("\r\n", colon);
             const std::size_t value = text.find_first_not_of(" \t", colon + 1);
@@ -281,12 +296,13 @@
     /// The head; a PUT of `bodyBytes` bytes, or a GET.
     std::string head(std::optional<std::size_t> bodyBytes = {}) const {
         std::string text = bodyBytes ? "PUT" : "GET";
-        text += " /api HTTP/1.1\r\nHost: origin.svc\r\nReq-Id: " + id + "\r\nReq-Kind: " + kind + "\r\nTier: " + plan +
+        text += " /api HTTP/1.1\r\nHost: origin.svc\r\nReq-Id: " + id + "\r\nReq-Kind: " + kind +
+                "\r\nTier: " + plan +
                 "\r\nCookie: key=7f3a9c21e0b4d655\r\nReq-Deadline-Ms: " + std::to_string(deadlineMs) + "\r\n";
         if (kind == "alta") text += "Idempotency-Key: k" + id + "\r\n";
         if (bodyBytes) text += "Content-Length: " + std::to_string(*bodyBytes) + "\r\n";
-        return text + "IO-Info: volume=" + volume + ",units=" + std::to_string(units) + ",shard=" +
-               std::to_string(shard) + ",hosts=1\r\n\r\n";
+        return text + "IO-Info: volume=" + volume + ",units=" + std::to_string(units) +
+               ",shard=" + std::to_string(shard) + ",hosts=1\r\n\r\n";
     }
 };
 
@@ -308,12 +324,13 @@
 };
 
 inline std::string listOf(const std::vector<Listed>& servers, bool whole) {
-    std::string text = "{\"generation\":41,\"reset\":" + std::string(whole ? "true" : "false") + ",\"instances\":[";
+    std::string text =
+        "{\"generation\":41,\"reset\":" + std::string(whole ? "true" : "false") + ",\"instances\":[";
     for (std::size_t i = 0; i < servers.size(); ++i)
-        text += std::string(i > 0 ? "," : "") + "{\"instanceId\":\"" + servers[i].id + "\",\"hostPort\":\"127.0.0.1:" +
-                std::to_string(servers[i].port) +
-                "\",\"zone\":\"barracas\",\"machineType\":\"nodo-comun\",\"cell\":" + std::to_string(servers[i].cell) +
-                ",\"lifecycle\":\"up\",\"weight\":1.0,\"startedAtMs\":0}";
+        text += std::string(i > 0 ? "," : "") + "{\"instanceId\":\"" + servers[i].id +
+                "\",\"hostPort\":\"127.0.0.1:" + std::to_string(servers[i].port) +
+                "\",\"zone\":\"barracas\",\"machineType\":\"nodo-comun\",\"cell\":" +
+                std::to_string(servers[i].cell) + ",\"lifecycle\":\"up\",\"weight\":1.0,\"startedAtMs\":0}";
     return text + "]}";
 }
 
@@ -332,11 +349,11 @@
 // --------------------------------------------------------------------------------------------- the platform
 
 /// The configuration of the one front of a small deployment, with the classes of `casa-central-bsas`.
-inline std::string configuration(std::uint16_t listen, std::uint16_t discovery, const std::vector<Listed>& servers,
-                                 int cells) {
+inline std::string configuration(std::uint16_t listen, std::uint16_t discovery,
+                                 const std::vector<Listed>& servers, int cells) {
     std::string writes = "false,true,false";
-    return "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + std::to_string(listen) + "\",\"discovery\":\"127.0.0.1:" +
-           std::to_string(discovery) +
+    return "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + std::to_string(listen) +
+           "\",\"discovery\":\"127.0.0.1:" + std::to_string(discovery) +
            R"(","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"peers":[],"known":)" +
            listOf(servers, true) +
            R"(,"settings":{"me":0,"replicasOfMe":1,"registryMode":"on_request","roundUs":2000,"zone":"barracas",
@@ -350,7 +367,8 @@
  {"name":"exportacion","aimUs":1500000,"deadlineUs":5000000,"windowUs":5000000,"value":1.0,"lateWorth":0.2,
   "effect":"idempotent","keyScope":"all"}],
 "extra":{"changesData":[)" +
-           writes + R"(],"coldBears":51.0,"maxUnits":6,"meanUnits":2.06,"meterUs":1000000,"saysOthers":true,"shards":)" +
+           writes +
+           R"(],"coldBears":51.0,"maxUnits":6,"meanUnits":2.06,"meterUs":1000000,"saysOthers":true,"shards":)" +
            std::to_string(cells) + R"(,"spareWorth":0.05,"withinShare":0.3},
 "obligations":{"answerSlackUs":8000,"askEveryUs":10000000,"drainGraceUs":1000000,"fallMultiple":2.5,"fallUs":3000000,
  "startCapacity":0.28,"warmAfterUs":15000000},
@@ -367,9 +385,11 @@
 public:
     /// \param run the command; \param variables of the environment, each "NAME=VALUE"
     /// \param inherited a socket that the process gets as descriptor 7; -1: none
-    Front(const std::string& run, std::vector<std::string> variables, const std::string& log, int inherited = -1) {
+    Front(const std::string& run, std::vector<std::string> variables, const std::string& log,
+          int inherited = -1) {
         for (char** entry = environ; *entry != nullptr; ++entry)
-            if (std::string_view(*entry).substr(0, 6) != "PROXY_" && std::string_view(*entry).substr(0, 10) != "WINGPROXY_" &&
+            if (std::string_view(*entry).substr(0, 6) != "PROXY_" &&
+                std::string_view(*entry).substr(0, 10) != "WINGPROXY_" &&
                 std::string_view(*entry).substr(0, 7) != "TMPDIR=")
                 variables.emplace_back(*entry);
         std::vector<char*> environment;
@@ -384,7 +404,10 @@
             if (::getppid() != parent) ::_exit(127);
             ::dup2(output, STDOUT_FILENO);
             ::dup2(output, STDERR_FILENO);
-            if (inherited >= 0) ::dup2(inherited, 7);
+            if (inherited == 7)
+                ::fcntl(7, F_SETFD, 0);  // dup2 would leave it closed on exec
+            else if (inherited >= 0)
+                ::dup2(inherited, 7);
             ::execle("/bin/sh", "sh", "-c", run.c_str(), static_cast<char*>(nullptr), environment.data());
             ::_exit(127);
         }
@@ -444,7 +467,8 @@
     while (now() < until) {
         if (const auto socket = connectTo(port)) {
             Reader reader(*socket);
-            if (socket->sendAll("GET " + path + " HTTP/1.1\r\nHost: front\r\n\r\n") && socket->isReadableWithin(1)) {
+            if (socket->sendAll("GET " + path + " HTTP/1.1\r\nHost: front\r\n\r\n") &&
+                socket->isReadableWithin(1)) {
                 const auto head = reader.head();
                 if (head && head->status() == 200) return true;
             }
