--- a/review/stand_ins/leaving_process.cpp
+++ b/review/stand_ins/leaving_process.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// Case 2: clients keep using the connections that they have to the old process of an upgrade, and ask for
+/// Case 3: clients keep using the connections that they have to the old process of an upgrade, and ask for
 /// long answers that take their chunk server some seconds. Does each of them get its answer whole, although
 /// the platform kills the old process when its time is over?
 #include "stand_ins.h"
--- a/review/stand_ins/long_upload.cpp
+++ b/review/stand_ins/long_upload.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// Case 1: clients write long bodies whole while the chunk server hangs in the middle of one. Is each such
+/// Case 2: clients write long bodies whole while the chunk server hangs in the middle of one. Is each such
 /// request answered in time?
 #include <linux/sockios.h>
 #include <sys/ioctl.h>
