--- a/include/wingproxy/policy.h
+++ b/include/wingproxy/policy.h
@@ -273,7 +273,7 @@
     RequestId id = 0;
     std::string node;
     Micros timeoutUs = 0;     ///< of the attempt; 0: until the request's deadline
-    Micros lastByteByUs = 0;  ///< the last byte must not be written after this time; 0: no such limit
+    Micros lastByteByUs = 0;  ///< the last byte must not reach the node after this time; 0: no such limit
 };
 /// Why a request got its final answer without a node's response.
 enum class AnswerReason {
--- a/src/app/metrics_report.cpp
+++ b/src/app/metrics_report.cpp
@@ -44,7 +44,8 @@
              {"deadline_exceeded", counters.deadlineExceeded},
              {"open", openRequests},
              {"cancelled_before_sent", counters.cancelledBeforeSent},
-             {"last_byte_timeouts", counters.lastByteTimeouts}}};
+             {"last_byte_timeouts", counters.lastByteTimeouts},
+             {"stopped_undelivered", counters.stoppedUndelivered}}};
 }
 
 MetricGroup describeAnswerReasons(const core::Counters& counters) {
--- a/src/core/attempt_deadlines.h
+++ b/src/core/attempt_deadlines.h
@@ -18,7 +18,7 @@
 struct AttemptDeadlines {
     Micros firstByteBy = 0;  ///< the first byte of the request must be written by then
     Micros timeoutAt = 0;    ///< the attempt must have ended by then
-    Micros lastByteBy = 0;   ///< the last byte must be written by then; `StartAttempt::kNever`: no limit
+    Micros lastByteBy = 0;   ///< the last byte must reach the node by then; `StartAttempt::kNever`: no limit
 };
 
 /// State of the request and the node that determines an attempt's deadlines, besides the configuration.
--- a/src/core/attempt_lifecycle.cpp
+++ b/src/core/attempt_lifecycle.cpp
@@ -80,6 +80,7 @@
     context.timers.cancel(Timer::attemptTimeout(result.id, result.attempt, ended.timeoutAt));
     context.timers.cancel(Timer::lastByte(result.id, result.attempt, ended.lastByteBy));
     countOutcome(context.counters, result.outcome);
+    if (result.undelivered) ++context.counters.stoppedUndelivered;
     if (result.outcome == Outcome::Ok) context.slowStart.onAttemptCompleted(ended.node, request.units);
     deps_.answers.answerFromAttempt(request, result);
     context.notifyPolicy(AttemptOutcome{result.id, result.attempt, ended.node, result.outcome,
@@ -94,7 +95,6 @@
     const AttemptLookup found = deps_.requests.findAttempt(input.id, input.attempt);
     if (!found) return;
     found.attempt->requestSent = true;
-    deps_.context.timers.cancel(Timer::lastByte(input.id, input.attempt, found.attempt->lastByteBy));
 }
 
 void AttemptLifecycle::extendTimeouts(RequestId id, InFlightRequest& request) {
@@ -112,7 +112,12 @@
 }
 
 void AttemptLifecycle::expireLastByte(const Timer& timer) {
-    if (!deps_.requests.findAttempt(timer.id, timer.attempt)) return;
+    const AttemptLookup found = deps_.requests.findAttempt(timer.id, timer.attempt);
+    if (!found) return;
+    if (found.attempt->requestSent) {
+        deps_.context.emit(StopUndeliveredAttempt{timer.id, timer.attempt, Outcome::Reset});
+        return;
+    }
     ++deps_.context.counters.lastByteTimeouts;
     stop(timer.id, timer.attempt, Outcome::ConnectFailed);
 }
--- a/src/core/attempt_lifecycle.h
+++ b/src/core/attempt_lifecycle.h
@@ -38,7 +38,7 @@
     /// Ends an attempt with the result that it reported. A late result, of an attempt no longer in flight, is
     /// only counted.
     void finish(AttemptFinished result);
-    /// Records that the whole request was sent to the attempt's node, and cancels the last-byte timer.
+    /// Records that the whole request was given to the system for sending.
     void requestSent(const AttemptRequestSent& input);
     /// Restarts the timeouts of a request's attempts when its body is complete: nodes start work only then,
     /// so that attempts may run until the request's new deadline.
@@ -46,8 +46,8 @@
 
     /// Stops an attempt that got no response in time, with `Outcome::Timeout`.
     void expireTimeout(const Timer& timer);
-    /// Stops an attempt whose last byte was not written in time. It never ran, so its outcome is
-    /// `Outcome::ConnectFailed`.
+    /// Stops an attempt whose last byte did not reach the node in time. If that byte was not even given to
+    /// the system, the attempt never ran and its outcome is `Outcome::ConnectFailed`.
     void expireLastByte(const Timer& timer);
 
     /// Notifies the policy of the attempts that it ordered since the last call and that could not be started.
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -28,6 +28,9 @@
     std::uint64_t cancelledBeforeSent = 0;
     /// Retries stopped because their last byte was not sent within the window of the idempotency key.
     std::uint64_t lastByteTimeouts = 0;
+    /// Attempts stopped because the system still held a part of their request: their client disconnected, or
+    /// the window of the idempotency key ended.
+    std::uint64_t stoppedUndelivered = 0;
     std::uint64_t attempts = 0;      ///< attempts started
     std::uint64_t requestsSent = 0;  ///< attempts whose whole request was sent to the node
     std::uint64_t lateResults = 0;   ///< results of attempts that had already been stopped or had timed out
--- a/src/core/effects.h
+++ b/src/core/effects.h
@@ -13,7 +13,7 @@
 namespace wingproxy::core {
 
 /// Sends the request to a node. The caller enforces the two deadlines for writing; the reducer stops the
-/// attempt at `timeoutAt` and, if its last byte is not written, at `lastByteBy`.
+/// attempt at `timeoutAt` and, if its last byte has not reached the node, at `lastByteBy`.
 struct StartAttempt {
     static constexpr Micros kNever = INT64_MAX;  ///< no deadline
 
@@ -22,7 +22,7 @@
     std::string node;
     Micros firstByteBy = 0;      ///< the first byte must not be written later
     Micros timeoutAt = 0;        ///< the attempt is stopped then if it has not ended
-    Micros lastByteBy = kNever;  ///< the last byte must not be written later
+    Micros lastByteBy = kNever;  ///< the last byte must not reach the node later
 };
 
 /// Closes the attempt's connection. No further report of it is expected.
@@ -31,6 +31,15 @@
     AttemptIndex attempt{0};
 };
 
+/// Stops the attempt if the node has not acknowledged its whole request. The system holds the rest and would
+/// go on delivering it. The caller reports the attempt as finished with `outcome` if it stopped it; otherwise
+/// nothing changes.
+struct StopUndeliveredAttempt {
+    RequestId id = 0;
+    AttemptIndex attempt{0};
+    Outcome outcome = Outcome::Reset;
+};
+
 /// Delivers this attempt's response to the client as the final answer.
 struct DeliverResponse {
     RequestId id = 0;
@@ -51,8 +60,8 @@
 };
 
 /// Any effect of the reducer.
-using Effect = std::variant<StartAttempt, StopAttempt, DeliverResponse, SendRejection, SendFailure,
-                            SendPeerMessage, WatchEndpointList, StartHealthCheck, LogLine>;
+using Effect = std::variant<StartAttempt, StopAttempt, StopUndeliveredAttempt, DeliverResponse, SendRejection,
+                            SendFailure, SendPeerMessage, WatchEndpointList, StartHealthCheck, LogLine>;
 /// Effects in the order in which they must be carried out.
 using Effects = std::vector<Effect>;
 
--- a/src/core/inputs.h
+++ b/src/core/inputs.h
@@ -23,9 +23,10 @@
     double loadElsewhere = 0;        ///< units per second that other hosts send to the node, as it reports
     std::vector<double> loadReport;  ///< one value per `Settings::reportColumns`; empty: no report
     bool requestSpent = false;       ///< the request's bytes are gone: no other attempt can send them
+    bool undelivered = false;        ///< it was stopped by `StopUndeliveredAttempt`
 };
 
-/// The last byte of the request was sent to the attempt's node.
+/// The last byte of the request was given to the system for sending. The node may not have it yet.
 struct AttemptRequestSent {
     RequestId id = 0;
     AttemptIndex attempt{0};
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -95,14 +95,17 @@
     ++context_.counters.disconnected;
     requests_.markAnswered(*request);
     context_.notifyPolicy(RequestCancelled{input.id});
-    // Stops the attempts that stream to or from the client, and those whose request was not sent completely:
-    // no one needs that work. Any other attempt continues, because its outcome still informs the policy about
-    // its node.
+    // Stops the attempts that stream to or from the client, and those whose request has not reached the node
+    // completely: no one needs that work. Any other attempt continues, because its outcome still informs the
+    // policy about its node.
     const bool endsWithClient = request->unbounded || request->bodyIncomplete;
     std::vector<AttemptIndex> cancelled;
     for (const auto& [number, attempt] : request->attempts) {
-        if (endsWithClient || !attempt.requestSent) cancelled.push_back(number);
         if (!attempt.requestSent) ++context_.counters.cancelledBeforeSent;
+        if (endsWithClient || !attempt.requestSent)
+            cancelled.push_back(number);
+        else
+            context_.emit(StopUndeliveredAttempt{input.id, number, Outcome::Cancelled});
     }
     for (const AttemptIndex attempt : cancelled)
         attempts_.stop(input.id, attempt, Outcome::Cancelled);
--- a/src/core/request_table.h
+++ b/src/core/request_table.h
@@ -18,8 +18,8 @@
     std::string node;
     Micros startedAt = 0;
     Micros timeoutAt = 0;
-    Micros lastByteBy = StartAttempt::kNever;  ///< the last byte must not be written later
-    bool requestSent = false;                  ///< the whole request was sent to the node
+    Micros lastByteBy = StartAttempt::kNever;  ///< the last byte must not reach the node later
+    bool requestSent = false;                  ///< the whole request was given to the system for sending
 };
 
 /// A request without a final answer, or with attempts that have not ended.
--- a/src/core/timer_queue.h
+++ b/src/core/timer_queue.h
@@ -16,7 +16,7 @@
     Policy,           ///< set by the policy with `SetTimer`; `Timer::id` is its token
     AttemptTimeout,   ///< an attempt must have ended
     RequestDeadline,  ///< a request must have its final answer
-    LastByte,         ///< the last byte of an attempt's request must have been sent to the node
+    LastByte,         ///< the last byte of an attempt's request must have reached the node
 };
 
 /// One timer. `TimerQueue::cancel` identifies it by the value of all its fields.
@@ -27,7 +27,7 @@
     static Timer attemptTimeout(RequestId id, AttemptIndex attempt, Micros at) {
         return {at, TimerKind::AttemptTimeout, id, attempt};
     }
-    /// A timer that stops an attempt if its request was not sent completely by then.
+    /// A timer that stops an attempt if its request has not reached the node completely by then.
     static Timer lastByte(RequestId id, AttemptIndex attempt, Micros at) {
         return {at, TimerKind::LastByte, id, attempt};
     }
--- a/src/http/request_attempt.cpp
+++ b/src/http/request_attempt.cpp
@@ -234,8 +234,11 @@
     stallTimer_.stop();
     socketReader_.stop();
     if (requestWriter_) requestWriter_->stop();
-    boost::system::error_code ignored;
-    if (connection_) connection_->socket.close(ignored);  // the pending handlers keep its buffers alive
+    if (connection_) connection_->close();  // the pending handlers keep its buffers alive
+}
+
+bool RequestAttempt::hasUndeliveredBytes() const {
+    return connection_ && connection_->unacknowledgedBytes() > 0;
 }
 
 }  // namespace wingproxy::http
--- a/src/http/request_attempt.h
+++ b/src/http/request_attempt.h
@@ -34,6 +34,8 @@
                    std::shared_ptr<const RequestMessage> message, std::optional<BodyFraming> streamed,
                    std::weak_ptr<ClientStream> client, OnResponse onResponse);
 
+    bool hasUndeliveredBytes() const override;
+
 private:
     void onConnected(std::shared_ptr<net::Connection> connection) override;
     void onConnectedTooLate(std::shared_ptr<net::Connection> connection) override;
@@ -77,7 +79,7 @@
     net::SocketReader socketReader_;
     net::StallTimer stallTimer_;
     BufferedBody responseBody_;
-    bool requestSent_ = false;  // completely written to the socket
+    bool requestSent_ = false;  // completely given to the system, which may not have delivered it yet
     bool writing_ = false;
     bool headReceived_ = false;
     bool headReported_ = false;  // to the engine
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -1,5 +1,8 @@
 #include "net/connection.h"
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 #include <boost/asio/io_context.hpp>
 
 namespace wingproxy::net {
@@ -7,6 +10,14 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
+namespace {
+
+// With a linger time of 0 a close is a reset, and the system discards its send buffer.
+const asio::socket_base::linger kDiscardUndelivered(true, 0);
+const asio::socket_base::linger kDeliverBeforeClose(false, 0);
+
+}  // namespace
+
 tcp::endpoint tcpEndpoint(const config::Endpoint& endpoint) {
     return {asio::ip::make_address_v4(endpoint.host), endpoint.port};
 }
@@ -25,6 +36,26 @@
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     socket.non_blocking(true, ignored);
+    socket.set_option(kDiscardUndelivered, ignored);
+}
+
+std::size_t Connection::unacknowledgedBytes() {
+    int bytes = 0;
+    if (!socket.is_open() || ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) != 0) return 0;
+    return bytes > 0 ? std::size_t(bytes) : 0;
+}
+
+void Connection::close() {
+    if (unacknowledgedBytes() == 0) return closeAfterDelivery();
+    boost::system::error_code ignored;
+    socket.close(ignored);
+}
+
+void Connection::closeAfterDelivery() {
+    if (!socket.is_open()) return;
+    boost::system::error_code ignored;
+    socket.set_option(kDeliverBeforeClose, ignored);
+    socket.close(ignored);
 }
 
 }  // namespace wingproxy::net
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -22,8 +22,21 @@
     /// Whether an idle connection may carry another request: it is open and has no unread bytes. Unsolicited
     /// bytes belong to an earlier response and would be taken for the next one.
     bool isReusable();
-    /// Makes a newly connected socket non-blocking and disables Nagle's algorithm.
+    ~Connection() { close(); }
+    Connection(const Connection&) = delete;
+    Connection& operator=(const Connection&) = delete;
+
+    /// Makes a newly connected socket non-blocking and disables Nagle's algorithm. From then on the system
+    /// discards what it has not delivered if the process ends, however it ends.
     void configureSocket();
+    /// Bytes that the system took for sending and that the node has not acknowledged; 0 if the system does
+    /// not tell.
+    [[nodiscard]] std::size_t unacknowledgedBytes();
+    /// Closes the socket and gives up what has not been delivered: after an ordinary close the system would
+    /// go on delivering it, for as long as the node takes.
+    void close();
+    /// Closes the socket; the system goes on delivering what it holds.
+    void closeAfterDelivery();
 
     boost::asio::ip::tcp::socket socket;
     RingBuffer in;
--- a/src/net/engine.cpp
+++ b/src/net/engine.cpp
@@ -172,6 +172,16 @@
     eraseIfComplete(effect.id);
 }
 
+void Engine::apply(const core::StopUndeliveredAttempt& effect) {
+    const auto attempt = findAttempt(effect.id, effect.attempt);
+    if (!attempt || !attempt->hasUndeliveredBytes()) return;
+    trace("request {} attempt {} undelivered", effect.id, effect.attempt.value());
+    attempt->cancel();
+    core::AttemptFinished stopped{effect.id, effect.attempt, effect.outcome, 0, 0, {}};
+    stopped.undelivered = true;
+    process(std::move(stopped));
+}
+
 void Engine::apply(const core::DeliverResponse& effect) {
     trace("request {} answered by attempt {}", effect.id, effect.attempt.value());
     if (const auto handler = markAnswered(effect.id)) handler->deliverResponse(effect.attempt);
@@ -212,6 +222,13 @@
     return handler;
 }
 
+std::shared_ptr<Attempt> Engine::findAttempt(RequestId id, AttemptIndex attempt) const {
+    const auto request = requests_.find(id);
+    if (request == requests_.end()) return nullptr;
+    const auto slot = request->second.attempts.find(attempt);
+    return slot == request->second.attempts.end() ? nullptr : slot->second;
+}
+
 std::shared_ptr<Attempt> Engine::removeAttempt(RequestId id, AttemptIndex attempt) {
     const auto request = requests_.find(id);
     if (request == requests_.end()) return nullptr;
--- a/src/net/engine.h
+++ b/src/net/engine.h
@@ -28,7 +28,7 @@
     config::Endpoint node;                           ///< address to connect to
     Micros firstByteBy = 0;                          ///< after it, the first byte may not be sent
     Micros timeoutAt = 0;                            ///< the reducer stops the attempt at this time
-    Micros lastByteBy = core::StartAttempt::kNever;  ///< after it, the request's last byte may not be sent
+    Micros lastByteBy = core::StartAttempt::kNever;  ///< after it, the last byte may not reach the node
 };
 
 /// An attempt that is running. It calls `Engine::attemptFinished` once, unless it is cancelled first.
@@ -37,6 +37,8 @@
     virtual ~Attempt() = default;
     /// Closes the connection. The attempt reports nothing afterwards.
     virtual void cancel() = 0;
+    /// Whether the system holds bytes of the request that the node has not acknowledged.
+    virtual bool hasUndeliveredBytes() const = 0;
 };
 
 /// The front's side of one request: sends it to nodes and responds to the client. Exactly one of
@@ -95,8 +97,7 @@
     /// The program shuts down gracefully, without a successor.
     /// \param servesUntilUs when the last response is sent
     void shutdownStarted(Micros servesUntilUs) { process(ShutdownStarted{servesUntilUs}); }
-    /// The last byte of the request was written to the node's connection: the node may execute it from now
-    /// on.
+    /// The last byte of the request was given to the system for sending: the node may execute it from now on.
     void attemptRequestSent(RequestId id, AttemptIndex attempt) {
         trace("request {} attempt {} sent", id, attempt.value());
         process(core::AttemptRequestSent{id, attempt});
@@ -205,6 +206,7 @@
     void apply(const core::Effects& effects);
     void apply(const core::StartAttempt& effect);
     void apply(const core::StopAttempt& effect);
+    void apply(const core::StopUndeliveredAttempt& effect);
     void apply(const core::DeliverResponse& effect);
     void apply(const core::SendRejection& effect);
     void apply(const core::SendFailure& effect);
@@ -214,6 +216,7 @@
     void apply(const LogLine& effect);
     // Returns the handler if the request had no response yet; null otherwise.
     std::shared_ptr<RequestHandler> markAnswered(RequestId id);
+    std::shared_ptr<Attempt> findAttempt(RequestId id, AttemptIndex attempt) const;
     std::shared_ptr<Attempt> removeAttempt(RequestId id, AttemptIndex attempt);
     void eraseIfComplete(RequestId id);
 
--- a/src/net/http_exchange.cpp
+++ b/src/net/http_exchange.cpp
@@ -70,8 +70,7 @@
 void HttpExchange::finish(Result result) {
     const auto onFinished = std::exchange(onFinished_, nullptr);
     stop();
-    boost::system::error_code ignored;
-    if (!reusable_) connection_->socket.close(ignored);
+    if (!reusable_) connection_->close();
     Response response;
     if (result == Result::Completed) {
         response.base() = reader_.parser().get().base();
@@ -84,8 +83,7 @@
     if (!onFinished_) return;
     onFinished_ = nullptr;
     stop();
-    boost::system::error_code ignored;
-    connection_->socket.close(ignored);
+    connection_->close();
 }
 
 void HttpExchange::stop() {
--- a/src/net/pool_acquisitions.cpp
+++ b/src/net/pool_acquisitions.cpp
@@ -11,8 +11,7 @@
     : connection_(std::move(connection)), onAcquired_(std::move(onAcquired)), timeout_(io) {}
 
 ConnectAcquisition::~ConnectAcquisition() {
-    boost::system::error_code ignored;
-    if (connection_) connection_->socket.close(ignored);
+    if (connection_) connection_->close();
 }
 
 void ConnectAcquisition::start(std::chrono::microseconds timeout) {
@@ -34,8 +33,7 @@
     const auto keepAlive = shared_from_this();  // the callback lets the owner drop this acquisition
     auto connection = std::exchange(connection_, nullptr);
     if (error) {
-        boost::system::error_code ignored;
-        connection->socket.close(ignored);
+        connection->close();
         connection = nullptr;
     } else {
         connection->configureSocket();
--- a/src/rsync/transfer_attempt.cpp
+++ b/src/rsync/transfer_attempt.cpp
@@ -48,6 +48,7 @@
     handshakeOutput_.fill(out);
     writingHandshake_ = out.size() > 0;
     if (!writingHandshake_) return onHandshakeWritten();
+    if (engine_.now() > params_.lastByteBy) return finish(Outcome::ConnectFailed);
     connection_->socket.async_write_some(
         out.data(), [self = net::sharedFrom(this)](const boost::system::error_code& error, std::size_t size) {
             if (self->ended_) return;
@@ -207,14 +208,22 @@
 void TransferAttempt::finish(Outcome outcome) {
     core::AttemptFinished result;
     result.outcome = outcome;
+    succeeded_ = outcome == Outcome::Ok;
     finishAttempt(std::move(result));
 }
 
+bool TransferAttempt::hasUndeliveredBytes() const {
+    return connection_ && stage_ != Stage::Forwarding && connection_->unacknowledgedBytes() > 0;
+}
+
 void TransferAttempt::closeConnection() {
     nodeReader_.stop();
-    boost::system::error_code ignored;
-    if (connection_)
-        connection_->socket.close(ignored);  // the buffers stay valid until the handlers have run
+    if (!connection_) return;
+    // The buffers stay valid until the handlers have run.
+    if (succeeded_)
+        connection_->closeAfterDelivery();
+    else
+        connection_->close();
 }
 
 }  // namespace wingproxy::rsync
--- a/src/rsync/transfer_attempt.h
+++ b/src/rsync/transfer_attempt.h
@@ -34,6 +34,9 @@
     bool isDelivered() const;
     /// Ends the attempt: as Ok if isDelivered(), else as Cancelled.
     void clientDisconnected();
+    /// Once the node's stream has begun, the node has the request; what it has not acknowledged then is part
+    /// of the client's stream.
+    bool hasUndeliveredBytes() const override;
 
 private:
     enum class Stage {
@@ -70,6 +73,7 @@
     net::PendingOutput handshakeOutput_;  ///< output that does not fit into the connection's buffer yet
     bool writingHandshake_ = false;
     bool requestSent_ = false;  ///< all arguments were written: the node may execute the transfer
+    bool succeeded_ = false;    ///< the last bytes to the node may still be delivered after the close
 
     SenderStreamParser senderParser_;
     GeneratorStreamParser generatorParser_;
--- a/tests/app/metrics_report_test.cpp
+++ b/tests/app/metrics_report_test.cpp
@@ -20,10 +20,11 @@
     counters.deadlineExceeded = 6;
     counters.cancelledBeforeSent = 8;
     counters.lastByteTimeouts = 9;
+    counters.stoppedUndelivered = 10;
     CHECK(formatLine(describeRequests(counters, 7)) ==
           "counters requests: taken=1 delivered=11 rejected=22 failed=33 disconnected=5 deadline_exceeded=6 "
           "open=7 "
-          "cancelled_before_sent=8 last_byte_timeouts=9");
+          "cancelled_before_sent=8 last_byte_timeouts=9 stopped_undelivered=10");
 }
 
 TEST_CASE("metrics: attempts are counted by outcome") {
--- a/tests/core/reducer_test.cpp
+++ b/tests/core/reducer_test.cpp
@@ -69,7 +69,10 @@
     ReducerFixture front;
     front.receive(1);
     front.put(AttemptRequestSent{1, AttemptIndex(0)});
-    CHECK(effectsOf<StopAttempt>(front.put(ClientDisconnected{1})).empty());
+    const auto effects = front.put(ClientDisconnected{1});
+    CHECK(effectsOf<StopAttempt>(effects).empty());
+    REQUIRE(effectsOf<StopUndeliveredAttempt>(effects).size() == 1);  // unless the node has the whole request
+    CHECK(effectsOf<StopUndeliveredAttempt>(effects)[0].outcome == Outcome::Cancelled);
     CHECK(front.state.openRequests() == 0);
     CHECK(front.state.counters().disconnected == 1);
     CHECK(effectsOf<DeliverResponse>(front.put(finished(1, 0, Outcome::Ok))).empty());
--- a/tests/http/attempt_deadlines_test.cpp
+++ b/tests/http/attempt_deadlines_test.cpp
@@ -84,6 +84,8 @@
         if (written) step(state, kStart + window - kMs, core::AttemptRequestSent{1, AttemptIndex(1)});
         const auto after = step(state, kStart + window, core::TimerExpired{});
         CHECK(of<core::StopAttempt>(after).size() == (written ? 0 : 1));
+        // What was written may still wait in the system: the attempt is stopped unless the node has it all.
+        CHECK(of<core::StopUndeliveredAttempt>(after).size() == (written ? 1 : 0));
         // The first attempt may have run, so the client gets a failure and no rejection.
         CHECK(of<core::SendFailure>(after).size() == (written ? 0 : 1));
         CHECK(state.counters().lastByteTimeouts == (written ? 0 : 1));
--- a/tests/net/engine_test.cpp
+++ b/tests/net/engine_test.cpp
@@ -13,7 +13,9 @@
 
 struct FakeAttempt : net::Attempt {
     void cancel() override { cancelled = true; }
+    bool hasUndeliveredBytes() const override { return undelivered; }
     bool cancelled = false;
+    bool undelivered = false;
 };
 
 // Records the engine's calls.
@@ -99,6 +101,25 @@
     CHECK(running.engine.openRequests() == 0);
 }
 
+TEST_CASE(
+    "engine: when the client disconnects, an attempt is stopped only if the node has not all of its "
+    "request") {
+    for (const bool undelivered : {false, true}) {
+        RunningEngine running;
+        const auto id = running.submit();
+        REQUIRE(running.handler->attempts.size() == 1);
+        running.engine.attemptRequestSent(id, running.handler->started[0].attempt);
+        running.handler->attempts[0]->undelivered = undelivered;
+        running.engine.clientDisconnected(id);
+        running.io.poll();
+        CHECK(running.handler->attempts[0]->cancelled == undelivered);
+        CHECK(running.engine.counters().stoppedUndelivered == (undelivered ? 1 : 0));
+        const auto cancelled = running.engine.counters().outcomes[std::size_t(Outcome::Cancelled)];
+        CHECK(cancelled == (undelivered ? 1 : 0));
+        CHECK(running.handler->answers() == 0);
+    }
+}
+
 TEST_CASE("engine: an attempt may finish before its start returns") {
     RunningEngine running;
     running.handler->onStart = [&running](const net::AttemptParams& params) {
--- a/tests/rsync/front_test.cpp
+++ b/tests/rsync/front_test.cpp
@@ -2,6 +2,9 @@
 /// The rsync front on sockets; the tests send every byte of its clients and nodes.
 #include "rsync/front.h"
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 #include <algorithm>
 #include <cstddef>
 #include <iterator>
@@ -14,6 +17,7 @@
 #include "rsync/transfer_request.h"
 #include "stream_support.h"
 #include "support/net_support.h"
+#include "support/stalled_node.h"
 
 using namespace wingproxy;
 using namespace wingproxy::test;
@@ -77,6 +81,13 @@
 
 TestTransfer startPush(GatewayFixture& fixture) { return {fixture, rsync::Direction::Push}; }
 
+/// Whether the other end of the connection has acknowledged all bytes.
+bool hasSent(tcp::socket& socket) {
+    int unacknowledged = 0;
+    REQUIRE(::ioctl(socket.native_handle(), SIOCOUTQ, &unacknowledged) == 0);
+    return unacknowledged == 0;
+}
+
 /// Sends bytes as a new client and waits for the reply and the end of the connection.
 void checkReplyAndClose(GatewayFixture& fixture, const char* request, const char* reply) {
     const auto client = fixture.rsyncClient();
@@ -281,6 +292,35 @@
     CHECK(fixture.node().connections.size() == 1);
 }
 
+// Guards against a push that a node completes long after its client left.
+TEST_CASE("rsync front: what a node has not read of a push is not delivered after the client disconnected") {
+    GatewayFixture fixture;
+    StalledNode stalled(fixture);
+    const auto transfer = startPush(fixture);
+    const auto node = startConnection(stalled.nextConnection());
+    node->send("@RSYNCD: 30.0\n");
+    transfer.awaitText(node, "bodega\n");
+    node->send("@RSYNCD: OK\n");
+    transfer.awaitText(node, "bodega/a\n\n");
+    node->send(kSeed);
+    transfer.awaitText(transfer.client, kSeed);
+    node->socket.cancel();  // the node reads no further
+    fixture.waitUntil([&] { return node->ended; });
+    std::string fileList;
+    for (int i = 0; i < 1000; ++i)
+        fileList += kFileEntry;
+    transfer.client->send(fileList + kEndOfFileList + kNoIoErrors);
+    fixture.waitUntil([&] { return hasSent(transfer.client->socket); });
+    transfer.client->close();
+    fixture.waitUntil([&] { return fixture.outcomes(Outcome::Cancelled) == 1; });
+    node->clearReceived();
+    node->ended = false;
+    node->start();
+    fixture.waitUntil([&] { return node->ended; });
+    CHECK(node->endedWith == asio::error::connection_reset);
+    CHECK(node->received.size() < fileList.size());
+}
+
 TEST_CASE("rsync front: a volume's limit is shared with the platform's front") {
     constexpr int kTransfers = 14;
     GatewayFixture fixture;
--- a/tests/support/net_support.h
+++ b/tests/support/net_support.h
@@ -57,16 +57,19 @@
 
     tcp::socket socket;
     std::string received;
-    std::string autoResponse;  ///< unless empty: the response to each request without a body
-    bool ended = false;        ///< closed or reset by the other end, or closed here
+    std::string autoResponse;             ///< unless empty: the response to each request without a body
+    bool ended = false;                   ///< closed or reset by the other end, or closed here
+    boost::system::error_code endedWith;  ///< eof after a FIN, or the error of a reset
 
 private:
     void onRead(const boost::system::error_code& error, std::size_t count) {
         received.append(chunk_.data(), count);
-        if (error)
+        if (error) {
             ended = true;
-        else
+            endedWith = error;
+        } else {
             start();
+        }
         if (autoResponse.empty() || !hasReceived("\r\n\r\n")) return;
         clearReceived();
         send(autoResponse);
