--- a/src/core/attempt_deadlines.cpp
+++ b/src/core/attempt_deadlines.cpp
@@ -14,13 +14,12 @@
 /// draining still gets requests.
 constexpr double kKnownDrainGraceFraction = 0.8;
 /// Longest time that an attempt runs while the request's body is still arriving. Only a backstop: the front
-/// itself ends a request whose body arrives too slowly.
+/// itself ends a request whose body arrives, or is taken by the node, too slowly.
 constexpr Micros kMaxBodyDuration = 3'600'000'000;
 
 Micros timeoutOf(const ForwardRequest& action, const AttemptConditions& conditions, Micros now) {
-    const Micros longest = conditions.bodyIncomplete ? now + kMaxBodyDuration : conditions.requestDeadline;
-    if (action.timeoutUs == 0) return longest;
-    return std::min(longest, now + std::max<Micros>(0, action.timeoutUs));
+    if (action.timeoutUs == 0) return conditions.requestDeadline;
+    return std::min(conditions.requestDeadline, now + std::max<Micros>(0, action.timeoutUs));
 }
 
 Micros firstByteBudget(const std::optional<Micros>& drainingSince, Micros drainGrace,
@@ -36,6 +35,8 @@
 
 }  // namespace
 
+Micros bodyTimeout(Micros bodyDeadline, Micros now) { return std::min(bodyDeadline, now + kMaxBodyDuration); }
+
 AttemptDeadlines attemptDeadlines(const ForwardRequest& action, const AttemptConditions& conditions,
                                   Micros drainGrace, const AttemptLimits& limits, Micros now) {
     AttemptDeadlines deadlines;
--- a/src/core/attempt_deadlines.h
+++ b/src/core/attempt_deadlines.h
@@ -23,12 +23,15 @@
 
 /// State of the request and the node that determines an attempt's deadlines, besides the configuration.
 struct AttemptConditions {
-    Micros requestDeadline = 0;
-    bool bodyIncomplete = false;  ///< the body is still arriving, so the request's deadline is not fixed yet
+    Micros requestDeadline = 0;  ///< `bodyTimeout()` while the body is still being forwarded
     /// When this host first read that the node is draining; empty if it is not.
     std::optional<Micros> drainingSince;
 };
 
+/// When the attempts of a request are stopped whose body is still being forwarded.
+/// \param bodyDeadline `InFlightRequest::bodyDeadlineUs`
+Micros bodyTimeout(Micros bodyDeadline, Micros now);
+
 /// Computes the deadlines of an attempt that starts at `now`.
 /// \param action the policy's action, which may set tighter limits
 /// \param drainGrace how long a node accepts requests after its drain was announced, in microseconds; 0: no
--- a/src/core/attempt_lifecycle.cpp
+++ b/src/core/attempt_lifecycle.cpp
@@ -38,8 +38,9 @@
     ReducerContext& context = deps_.context;
     ++context.counters.attempts;
     context.slowStart.onAttemptStarted(action.node, request.units, context.now);
-    const AttemptConditions conditions{request.deadlineUs, request.bodyIncomplete,
-                                       deps_.endpoints.drainingSince(action.node)};
+    const Micros requestDeadline =
+        request.bodyIncomplete ? bodyTimeout(request.bodyDeadlineUs, context.now) : request.deadlineUs;
+    const AttemptConditions conditions{requestDeadline, deps_.endpoints.drainingSince(action.node)};
     const AttemptDeadlines deadlines =
         attemptDeadlines(action, conditions, context.settings.drainGraceUs, context.limits, context.now);
     context.emit(StartAttempt{action.id, attempt, action.node, deadlines.firstByteBy, deadlines.timeoutAt,
@@ -97,12 +98,17 @@
     found.attempt->requestSent = true;
 }
 
-void AttemptLifecycle::extendTimeouts(RequestId id, InFlightRequest& request) {
+void AttemptLifecycle::onBodyCompleted(RequestId id, InFlightRequest& request) {
+    for (auto& [number, attempt] : request.attempts)
+        attempt.startedAt = deps_.context.now;
+    moveTimeouts(id, request, request.deadlineUs);
+}
+
+void AttemptLifecycle::moveTimeouts(RequestId id, InFlightRequest& request, Micros timeoutAt) {
     TimerQueue& timers = deps_.context.timers;
     for (auto& [number, attempt] : request.attempts) {
         timers.cancel(Timer::attemptTimeout(id, number, attempt.timeoutAt));
-        attempt.timeoutAt = request.deadlineUs;
-        attempt.startedAt = deps_.context.now;
+        attempt.timeoutAt = timeoutAt;
         if (!request.unbounded) timers.schedule(Timer::attemptTimeout(id, number, attempt.timeoutAt));
     }
 }
--- a/src/core/attempt_lifecycle.h
+++ b/src/core/attempt_lifecycle.h
@@ -40,9 +40,11 @@
     void finish(AttemptFinished result);
     /// Records that the whole request was given to the system for sending.
     void requestSent(const AttemptRequestSent& input);
-    /// Restarts the timeouts of a request's attempts when its body is complete: nodes start work only then,
-    /// so that attempts may run until the request's new deadline.
-    void extendTimeouts(RequestId id, InFlightRequest& request);
+    /// Restarts the attempts of a request when its body is complete: nodes start work only then, so that the
+    /// attempts may run until the request's new deadline.
+    void onBodyCompleted(RequestId id, InFlightRequest& request);
+    /// Moves the timeouts of a request's attempts to `timeoutAt`.
+    void moveTimeouts(RequestId id, InFlightRequest& request, Micros timeoutAt);
 
     /// Stops an attempt that got no response in time, with `Outcome::Timeout`.
     void expireTimeout(const Timer& timer);
--- a/src/core/inputs.h
+++ b/src/core/inputs.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <compare>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <string>
@@ -14,6 +15,15 @@
 
 namespace wingproxy::core {
 
+/// The time by which a request whose body is still being forwarded must have its final answer has become
+/// known or has changed. Its attempts are stopped then.
+struct BodyDeadlineChanged {
+    static constexpr Micros kNone = INT64_MAX;  ///< the client is still sending: there is no deadline yet
+
+    RequestId id = 0;
+    Micros deadlineUs = kNone;
+};
+
 /// An attempt ended, at its node or before it reached the node.
 struct AttemptFinished {
     RequestId id = 0;
@@ -74,9 +84,10 @@
 struct BatchEnded {};
 
 /// Any input of the reducer.
-using Input = std::variant<RequestReceived, RequestBodyCompleted, AttemptFinished, AttemptRequestSent,
-                           ResponseHeadReceived, ResponseForwardingStarted, ClientDisconnected,
-                           ShutdownStarted, CapacityNeeded, EndpointListReceived, AdminOverrideChanged,
-                           PeerMessageReceived, HealthCheckCompleted, TimerExpired, BatchEnded>;
+using Input =
+    std::variant<RequestReceived, RequestBodyCompleted, BodyDeadlineChanged, AttemptFinished,
+                 AttemptRequestSent, ResponseHeadReceived, ResponseForwardingStarted, ClientDisconnected,
+                 ShutdownStarted, CapacityNeeded, EndpointListReceived, AdminOverrideChanged,
+                 PeerMessageReceived, HealthCheckCompleted, TimerExpired, BatchEnded>;
 
 }  // namespace wingproxy::core
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -56,10 +56,17 @@
     request->deadlineUs = input.deadlineUs;
     if (request->answered) return;
     context_.timers.schedule(Timer::requestDeadline(input.id, input.deadlineUs));
-    attempts_.extendTimeouts(input.id, *request);
+    attempts_.onBodyCompleted(input.id, *request);
     context_.notifyPolicy(input);
 }
 
+void FrontState::handle(const BodyDeadlineChanged& input) {
+    InFlightRequest* request = requests_.find(input.id);
+    if (request == nullptr || !request->bodyIncomplete || request->answered) return;
+    request->bodyDeadlineUs = input.deadlineUs;
+    attempts_.moveTimeouts(input.id, *request, bodyTimeout(input.deadlineUs, context_.now));
+}
+
 void FrontState::handle(AttemptFinished input) { attempts_.finish(std::move(input)); }
 
 void FrontState::handle(const AttemptRequestSent& input) { attempts_.requestSent(input); }
--- a/src/core/reducer.h
+++ b/src/core/reducer.h
@@ -74,6 +74,7 @@
     // Inputs.
     void handle(const RequestReceived& input);
     void handle(const RequestBodyCompleted& input);
+    void handle(const BodyDeadlineChanged& input);
     void handle(AttemptFinished input);
     void handle(const AttemptRequestSent& input);
     void handle(const ResponseHeadReceived& input);
--- a/src/core/request_table.h
+++ b/src/core/request_table.h
@@ -9,6 +9,7 @@
 #include <unordered_map>
 
 #include "core/effects.h"
+#include "core/inputs.h"
 #include "wingproxy/policy.h"
 
 namespace wingproxy::core {
@@ -25,6 +26,8 @@
 /// A request without a final answer, or with attempts that have not ended.
 struct InFlightRequest {
     Micros deadlineUs = 0;
+    /// When its attempts are stopped if its body has not been forwarded completely by then.
+    Micros bodyDeadlineUs = BodyDeadlineChanged::kNone;
     double units = 0;             ///< units of work
     CellIndex cell;               ///< the cell that holds the object; none: any cell
     ClassIndex classIndex;        ///< none: unknown class
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -153,6 +153,7 @@
                               std::optional<BodyFraming> streamed) {
     responseDeadline_ = ResponseDeadline(context_.engine().now(), parsed.timeoutUs);
     bodyIncomplete_ = streamed.has_value();
+    bodyDeadline_ = core::BodyDeadlineChanged::kNone;
     parsed.request.deadlineUs = deadline();
     parsed.request.bodyIncomplete = bodyIncomplete_;
     phase_ = Phase::AwaitingResponse;
@@ -194,6 +195,24 @@
     context_.engine().requestBodyCompleted(requestId_, deadline());
 }
 
+// A node that does not take the body holds up the reading: the client's last byte may wait in the system's
+// buffer, and its timeout runs.
+void ClientConnection::updateBodyDeadline() {
+    const Micros deadline = bodyDeadline();
+    if (deadline == bodyDeadline_) return;
+    bodyDeadline_ = deadline;
+    context_.engine().bodyDeadlineChanged(requestId_, deadline);
+}
+
+Micros ClientConnection::bodyDeadline() {
+    const Micros now = context_.engine().now();
+    const std::size_t unread = unreadBytes();
+    responseDeadline_.onArrived(bytesRead_ + unread, now);
+    if (reader_.mayHaveArrived(unread)) return deadline();
+    const bool isNodeStalled = in_.freeSpace() == 0 && activity_.sinceLastByte() >= kStalledNodeTimeout;
+    return isNodeStalled ? now : core::BodyDeadlineChanged::kNone;
+}
+
 void ClientConnection::onBodyUnreadable() {
     if (!isOpen() || phase_ != Phase::AwaitingResponse) return;
     context_.engine().clientDisconnected(requestId_);
@@ -337,7 +356,9 @@
 // The engine enforces the deadline of a submitted request; here only a client that stopped sending its body
 // times out. While the receive buffer is full, the client is not the one that stalls.
 void ClientConnection::enforceBodyTimeout() {
-    if (!bodyIncomplete_ || in_.freeSpace() == 0 || activity_.sinceLastByte() < kStalledClientTimeout) return;
+    if (!bodyIncomplete_) return;
+    updateBodyDeadline();
+    if (in_.freeSpace() == 0 || activity_.sinceLastByte() < kStalledClientTimeout) return;
     context_.engine().clientDisconnected(requestId_);
     reject(rejectStalledBody());
 }
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -71,6 +71,8 @@
                 std::optional<BodyFraming> streamed);
     Micros deadline() const;  // on the engine's clock
     void onBodyCompleted();
+    void updateBodyDeadline();
+    Micros bodyDeadline();
     void onBodyUnreadable();
     void discardPipelined();
     void reject(const Rejection& rejection);
@@ -100,7 +102,8 @@
     bool bodyIncomplete_ = false;   // the request is submitted, and its body is still being received
     std::optional<StreamedResponse> stream_;  // set from the response head until the next request
     ConnectionActivity activity_;
-    ResponseDeadline responseDeadline_;  // of the request in phase AwaitingResponse
+    ResponseDeadline responseDeadline_;                       // of the request in phase AwaitingResponse
+    Micros bodyDeadline_ = core::BodyDeadlineChanged::kNone;  // as the engine knows it
     std::function<void()> onBody_;
     net::ByteBudget::Reservation responseReservation_;
 };
--- a/src/http/client_limits.h
+++ b/src/http/client_limits.h
@@ -25,6 +25,10 @@
 /// long is disconnected: working clients pause for a few seconds at most.
 constexpr std::chrono::seconds kStalledClientTimeout{30};
 
+/// An attempt whose node takes no further byte of a streamed body for this long is stopped, even if the
+/// client has not sent its last byte.
+constexpr std::chrono::seconds kStalledNodeTimeout{30};
+
 /// How long a client may go on sending its body after it has received its response.
 constexpr std::chrono::seconds kUnreadBodyLinger{10};
 
--- a/src/http/message_writer.cpp
+++ b/src/http/message_writer.cpp
@@ -31,6 +31,14 @@
     }
 }
 
+// While a body is streamed, its client's timeout has not started: the client has the whole of it left.
+Micros toldDeadlineMs(const RequestMessage& message, Micros remainingUs) {
+    const auto clientTimeoutMs =
+        parseNumber<Micros>(trimWhitespace(toStringView(message["Req-Deadline-Ms"])));
+    const Micros remainingMs = remainingUs / 1000;
+    return std::max<Micros>(1, std::min(remainingMs, clientTimeoutMs.value_or(remainingMs)));
+}
+
 }  // namespace
 
 std::string serializeNodeRequest(const RequestMessage& message, const std::string& host, Micros remainingUs,
@@ -42,7 +50,7 @@
         if (isHopByHop(entry, message) || beast::iequals(entry.name_string(), "Req-Deadline-Ms")) continue;
         out += fmt::format("{}: {}\r\n", toStringView(entry.name_string()), toStringView(entry.value()));
     }
-    out += fmt::format("Req-Deadline-Ms: {}\r\n", std::max<Micros>(1, remainingUs / 1000));
+    out += fmt::format("Req-Deadline-Ms: {}\r\n", toldDeadlineMs(message, remainingUs));
     if (streamed && streamed->chunked) return out + "Transfer-Encoding: chunked\r\n\r\n";
     if (streamed) return out + fmt::format("Content-Length: {}\r\n\r\n", streamed->length);
     if (!message.body().empty() || message.method() != beast::http::verb::get)
--- a/src/http/message_writer.h
+++ b/src/http/message_writer.h
@@ -14,7 +14,8 @@
 /// Req-Deadline-Ms.
 ///
 /// \param host the value of Host if the client sent none
-/// \param remainingUs time until the deadline; at least 1 ms is written
+/// \param remainingUs time until the attempt's timeout; never more than the client's own timeout is written,
+///        and at least 1 ms
 /// \param streamed if set, only the head is written, and the body follows in this framing
 std::string serializeNodeRequest(const RequestMessage& message, const std::string& host, Micros remainingUs,
                                  const BodyFraming* streamed = nullptr);
--- a/src/http/request_reader.cpp
+++ b/src/http/request_reader.cpp
@@ -34,6 +34,12 @@
     return length && *length > kMaxBufferedBody;
 }
 
+bool RequestReader::mayHaveArrived(std::size_t unreadBytes) const {
+    const std::size_t unparsed = in_.size() + unreadBytes;
+    if (const auto remaining = parser().content_length_remaining()) return unparsed >= *remaining;
+    return unparsed > 0;
+}
+
 bool RequestReader::reserveBody(net::ByteBudget& budget) {
     body_.setReservation(net::reserveBody(reader_->parser(), budget, kMaxBufferedBody));
     return body_.hasReservation();
--- a/src/http/request_reader.h
+++ b/src/http/request_reader.h
@@ -62,6 +62,10 @@
 
     /// Whether the Content-Length exceeds `kMaxBufferedBody`, so that the body will be streamed.
     bool announcesLongBody() const;
+    /// Whether the last byte of the request may have arrived. Exact if the body has a length; a chunked body
+    /// may end with any byte that was not parsed yet.
+    /// \param unreadBytes bytes that have arrived and are not in the receive buffer yet
+    bool mayHaveArrived(std::size_t unreadBytes) const;
     /// Whether the last byte of the request has been parsed.
     bool isComplete() const { return reader_->isComplete(); }
     /// Whether any byte of the request has arrived.
--- a/src/http/response_deadline.h
+++ b/src/http/response_deadline.h
@@ -4,6 +4,8 @@
 #pragma once
 
 #include <algorithm>
+#include <cstdint>
+#include <optional>
 
 #include "http/client_limits.h"
 #include "net/clock.h"
@@ -14,7 +16,7 @@
 ///
 /// A client's timeout starts when it sends the last byte of its request. That byte may wait in the kernel's
 /// buffers before it is read. It is only certain that it had not arrived when the socket was last read empty,
-/// so the timeout is counted from then.
+/// or when fewer bytes had arrived than later, so the timeout is counted from then.
 class ResponseDeadline {
 public:
     ResponseDeadline() = default;
@@ -28,12 +30,26 @@
     /// Called when the client's socket was read empty, which restarts the timeout.
     void onSocketDrained(Micros now) { startsAt_ = now; }
 
-    /// The deadline, provided that the last byte of the request has been received.
+    /// Called repeatedly while the body is received. If more bytes have arrived since the last call, the last
+    /// byte of the request had not arrived at that time.
+    /// \param bytes that have arrived on the connection so far, including those that were not read yet
+    void onArrived(std::uint64_t bytes, Micros now) {
+        if (observed_ && bytes > observed_->bytes) startsAt_ = std::max(startsAt_, observed_->at);
+        observed_ = {bytes, now};
+    }
+
+    /// The deadline, provided that the last byte of the request has arrived.
     Micros time() const { return startsAt_ + timeoutUs_; }
 
 private:
+    struct Observation {
+        std::uint64_t bytes = 0;
+        Micros at = 0;
+    };
+
     Micros startsAt_ = 0;
     Micros timeoutUs_ = 0;
+    std::optional<Observation> observed_;
 };
 
 }  // namespace wingproxy::http
--- a/src/net/engine.h
+++ b/src/net/engine.h
@@ -118,6 +118,11 @@
     void requestBodyCompleted(RequestId id, Micros deadlineUs) {
         process(RequestBodyCompleted{id, deadlineUs});
     }
+    /// The deadline of a request whose body is still being forwarded has changed.
+    /// \param deadlineUs the time by which the response has to be sent, or `core::BodyDeadlineChanged::kNone`
+    void bodyDeadlineChanged(RequestId id, Micros deadlineUs) {
+        process(core::BodyDeadlineChanged{id, deadlineUs});
+    }
     /// An attempt has ended. Releases it, and may start the next attempt or respond to the client before
     /// this call returns.
     void attemptFinished(core::AttemptFinished result) { process(std::move(result)); }
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -28,6 +28,7 @@
                        [self = shared_from_this(), requested = in_.freeSpace()](
                            const boost::system::error_code& error, std::size_t count) {
                            self->readDrainedSocket_ = count < requested;
+                           self->bytesRead_ += count;
                            self->onRead(error);
                        });
 }
--- a/src/net/session.h
+++ b/src/net/session.h
@@ -95,6 +95,7 @@
     RingBuffer in_;
     RingBuffer out_;
     bool readDrainedSocket_ = false;  ///< the last read took all bytes that had arrived
+    std::uint64_t bytesRead_ = 0;     ///< bytes read from the socket so far
 
 private:
     void onRead(const boost::system::error_code& error);
--- a/tests/core/attempt_deadlines_test.cpp
+++ b/tests/core/attempt_deadlines_test.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include "core/effects.h"
+#include "core/inputs.h"
 
 using namespace wingproxy;
 using namespace wingproxy::core;
@@ -13,7 +14,7 @@
 constexpr Micros kDrainGrace = 400'000;
 constexpr AttemptLimits kLimits{250'000};
 constexpr Micros kRequestDeadline = kNow + 2'000'000;
-constexpr AttemptConditions kDefaultConditions{kRequestDeadline, false, {}};
+constexpr AttemptConditions kDefaultConditions{kRequestDeadline, {}};
 
 AttemptDeadlines deadlinesOf(const ForwardRequest& action, const AttemptConditions& conditions,
                              Micros drainGrace = kDrainGrace) {
@@ -39,7 +40,13 @@
 }
 
 TEST_CASE("attempt deadlines: while the request's body is arriving an attempt may run for an hour") {
-    CHECK(deadlinesOf({}, {kRequestDeadline, true, {}}).timeoutAt == kNow + 3'600'000'000);
+    const Micros timeout = bodyTimeout(BodyDeadlineChanged::kNone, kNow);
+    CHECK(timeout == kNow + 3'600'000'000);
+    CHECK(deadlinesOf({}, {timeout, {}}).timeoutAt == timeout);
+}
+
+TEST_CASE("attempt deadlines: when the whole body has arrived an attempt ends at the body's deadline") {
+    CHECK(bodyTimeout(kRequestDeadline, kNow) == kRequestDeadline);
 }
 
 TEST_CASE("attempt deadlines: the first byte must be written within half of the drain grace") {
--- a/tests/core/reducer_test.cpp
+++ b/tests/core/reducer_test.cpp
@@ -124,6 +124,39 @@
     CHECK(effectsOf<StopAttempt>(front.expireTimersAt(deadline)).size() == 1);
 }
 
+// Guards against a request that is never answered as its node takes no more of its body.
+TEST_CASE(
+    "reducer: the deadline of a body that is still being forwarded stops the attempt and fails the request") {
+    ReducerFixture front;
+    auto received = request(1, 1, 1, front.now);
+    received.bodyIncomplete = true;
+    REQUIRE(effectsOf<StartAttempt>(front.put(RequestReceived{received})).size() == 1);
+    const Micros deadline = front.now + 3'000 * kMs;
+    front.put(BodyDeadlineChanged{1, deadline - 2'000 * kMs});
+    front.put(BodyDeadlineChanged{1, BodyDeadlineChanged::kNone});  // more of the body came
+    CHECK(effectsOf<StopAttempt>(front.expireTimersAt(deadline - 1'000 * kMs)).empty());
+    front.put(BodyDeadlineChanged{1, deadline});
+    CHECK(effectsOf<StopAttempt>(front.expireTimersAt(deadline - 1)).empty());
+    const auto effects = front.expireTimersAt(deadline);
+    CHECK(effectsOf<StopAttempt>(effects).size() == 1);
+    CHECK(effectsOf<SendFailure>(effects).size() == 1);
+    CHECK(front.state.counters().outcomes[std::size_t(Outcome::Timeout)] == 1);
+}
+
+TEST_CASE("reducer: the body's deadline holds for a retry that starts later") {
+    ReducerFixture front;
+    auto received = request(1, 0, 1, front.now);
+    received.bodyIncomplete = true;
+    REQUIRE(effectsOf<StartAttempt>(front.put(RequestReceived{received})).size() == 1);
+    const Micros deadline = front.now + 700 * kMs;
+    front.put(BodyDeadlineChanged{1, deadline});
+    auto starts = effectsOf<StartAttempt>(front.put(finished(1, 0, Outcome::ConnectFailed)));
+    for (int i = 0; i < 50 && starts.empty(); ++i)
+        starts = effectsOf<StartAttempt>(front.expireTimersAt(front.now + 10 * kMs));
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].timeoutAt == deadline);
+}
+
 TEST_CASE("reducer: an attempt must write its first byte within half of the drain grace") {
     ReducerFixture front;
     const auto start = effectsOf<StartAttempt>(front.receive(1)).at(0);
--- a/tests/http/message_writer_test.cpp
+++ b/tests/http/message_writer_test.cpp
@@ -30,6 +30,17 @@
     CHECK(text.substr(text.size() - 7) == "\r\n\r\nabc");
 }
 
+TEST_CASE("message writer: a node is never told more time than the client gave") {
+    const auto told = [](Micros remainingUs) {
+        const auto text = http::serializeNodeRequest(request(), "h", remainingUs);
+        const auto start = text.find("Req-Deadline-Ms: ") + 17;
+        return text.substr(start, text.find('\r', start) - start);
+    };
+    CHECK(told(3'600'000'000) == "480");  // the body is still arriving
+    CHECK(told(479'900) == "479");
+    CHECK(told(-5) == "1");
+}
+
 TEST_CASE("message writer: a streamed request ends with its head, in the given framing") {
     const http::BodyFraming byLength{false, 70'000};
     const http::BodyFraming inChunks{true, 0};
--- a/tests/http/request_reader_test.cpp
+++ b/tests/http/request_reader_test.cpp
@@ -79,6 +79,27 @@
     CHECK(reader.body().size() == sent - sizeof first);
 }
 
+TEST_CASE_FIXTURE(Fixture, "request reader: a body with a length has arrived when its last byte has") {
+    receive("PUT / HTTP/1.1\r\nContent-Length: 70000\r\n\r\nabc");
+    REQUIRE(reader.readHead(error));
+    CHECK(!reader.mayHaveArrived(0));
+    CHECK(!reader.mayHaveArrived(69'996));
+    CHECK(reader.mayHaveArrived(69'997));
+    std::array<char, 2> piece{};
+    CHECK(reader.consumeBody(piece.data(), piece.size(), error) == 2);
+    CHECK(!reader.mayHaveArrived(69'996));
+    CHECK(reader.mayHaveArrived(69'997));
+}
+
+TEST_CASE_FIXTURE(Fixture, "request reader: a chunked body may have arrived while any byte is not parsed") {
+    receive("PUT / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n");
+    REQUIRE(reader.readHead(error));
+    CHECK(!reader.mayHaveArrived(0));
+    CHECK(reader.mayHaveArrived(1));
+    receive("5");
+    CHECK(reader.mayHaveArrived(0));
+}
+
 TEST_CASE_FIXTURE(Fixture, "request reader: a message that cannot be parsed is invalid, and sets the error") {
     receive("PUT / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n");
     REQUIRE(reader.readHead(error));
--- a/tests/http/response_deadline_test.cpp
+++ b/tests/http/response_deadline_test.cpp
@@ -27,3 +27,14 @@
 TEST_CASE("response deadline: a timeout below the transit time expires at once") {
     CHECK(http::ResponseDeadline(kSubmittedAt, kTransitTime - 1).time() == kSubmittedAt);
 }
+
+TEST_CASE("response deadline: it is counted from when fewer bytes had arrived than later") {
+    http::ResponseDeadline deadline(kSubmittedAt, kClientTimeout);
+    deadline.onArrived(100, kSubmittedAt + 50);
+    CHECK(deadline.time() == kSubmittedAt + kClientTimeout - kTransitTime);  // all may have arrived before
+    deadline.onArrived(100, kSubmittedAt + 100);
+    deadline.onArrived(101, kSubmittedAt + 150);
+    CHECK(deadline.time() == kSubmittedAt + 100 + kClientTimeout - kTransitTime);
+    deadline.onArrived(101, kSubmittedAt + 200);
+    CHECK(deadline.time() == kSubmittedAt + 100 + kClientTimeout - kTransitTime);
+}
--- /dev/null
+++ b/tests/http/stalled_uploads_test.cpp
@@ -0,0 +1,149 @@
+// Long request bodies whose node stops reading, or reads slowly: each request that has arrived gets its
+// answer in time.
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "http/http_test_support.h"
+#include "support/net_support.h"
+#include "support/stalled_node.h"
+
+using namespace wingproxy;
+using namespace wingproxy::test;
+using std::chrono::milliseconds;
+using Clock = std::chrono::steady_clock;
+
+namespace {
+
+// How long after a client's deadline its answer still counts.
+constexpr milliseconds kAnswerGrace{500};
+
+std::string chunked(const std::string& body) {
+    return fmt::format("{:x}\r\n{}\r\n0\r\n\r\n", body.size(), body);
+}
+
+// A client that writes a long body, and notes when the front's machine has taken its last byte.
+class Uploader {
+public:
+    Uploader(GatewayFixture& fixture, std::string text)
+        : connection(fixture.client()), text_(std::move(text)) {
+        asio::async_write(connection->socket, asio::buffer(text_),
+                          [this](const boost::system::error_code& error, std::size_t) { written_ = !error; });
+    }
+    // To be called often. Returns whether the client has its answer, or its last byte was not taken within
+    // `limit`.
+    bool update(Clock::duration limit) {
+        const auto now = Clock::now();
+        if (!takenAt && written_ && unacknowledged() == 0) takenAt = now;
+        if (!answeredAt && connection->hasReceived("\r\n\r\n")) answeredAt = now;
+        return answeredAt || (!takenAt && now - startedAt_ > limit);
+    }
+
+    TestConnectionPtr connection;
+    std::optional<Clock::time_point> takenAt;
+    std::optional<Clock::time_point> answeredAt;
+
+private:
+    int unacknowledged() {
+        int bytes = 0;
+        REQUIRE(::ioctl(connection->socket.native_handle(), SIOCOUTQ, &bytes) == 0);
+        return bytes;
+    }
+
+    std::string text_;
+    bool written_ = false;
+    Clock::time_point startedAt_ = Clock::now();
+};
+
+// A node that reads at most a piece every 5 ms, some 12 MB/s.
+class SlowNode {
+public:
+    SlowNode(asio::io_context& io, tcp::socket socket) : socket_(std::move(socket)), timer_(io) {
+        readNext();
+    }
+
+    std::size_t received = 0;
+
+    void send(const std::string& text) { asio::write(socket_, asio::buffer(text)); }
+
+private:
+    static constexpr milliseconds kInterval{5};
+
+    void readNext() {
+        timer_.expires_after(kInterval);
+        timer_.async_wait([this](const boost::system::error_code&) {
+            socket_.async_read_some(asio::buffer(piece_), [this](const auto& error, std::size_t count) {
+                received += count;
+                if (!error) readNext();
+            });
+        });
+    }
+
+    tcp::socket socket_;
+    asio::steady_timer timer_;
+    std::array<char, 64 * 1024> piece_{};
+};
+
+}  // namespace
+
+// Guards against requests that are never answered: the client's last byte waited in the front's socket
+// buffer, and nothing ended the attempt.
+TEST_CASE("a long body whose node stops reading is answered when its client's time is over") {
+    for (const int deadlineMs : {200, 900}) {
+        for (const bool inChunks : {false, true}) {
+            CAPTURE(deadlineMs);
+            CAPTURE(inChunks);
+            GatewayFixture fixture;
+            StalledNode node(fixture);
+            std::vector<std::unique_ptr<Uploader>> uploads;
+            for (int kilobytes = 100; kilobytes <= 3000; kilobytes += 100) {
+                const std::string body(std::size_t(kilobytes) * 1000, 'x');
+                const auto framing = inChunks ? std::string("Transfer-Encoding: chunked\r\n")
+                                              : fmt::format("Content-Length: {}\r\n", body.size());
+                uploads.push_back(std::make_unique<Uploader>(
+                    fixture,
+                    streamedPut(framing, id(kilobytes), deadlineMs) + (inChunks ? chunked(body) : body)));
+            }
+            const milliseconds deadline(deadlineMs);
+            fixture.waitUntil(
+                [&] {
+                    bool done = true;
+                    for (const auto& upload : uploads)
+                        done = upload->update(deadline + kAnswerGrace) && done;
+                    return done;
+                },
+                "an answer to each request that was taken");
+            const auto taken = std::count_if(uploads.begin(), uploads.end(),
+                                             [](const auto& upload) { return upload->takenAt.has_value(); });
+            CHECK(taken > 0);
+            for (const auto& upload : uploads)
+                if (upload->takenAt) CHECK(*upload->answeredAt - *upload->takenAt < deadline + kAnswerGrace);
+        }
+    }
+}
+
+// Guards against cutting off what a slow node still takes: only the client's last byte starts its timeout.
+TEST_CASE("a body that takes longer than its client's timeout is served if its node goes on reading") {
+    constexpr int kDeadlineMs = 1500;
+    constexpr int kNodeReceiveBuffer = 64 * 1024;
+    const std::string body(30'000'000, 'x');
+    for (const bool inChunks : {false, true}) {
+        CAPTURE(inChunks);
+        GatewayFixture fixture;
+        StalledNode acceptor(fixture, kNodeReceiveBuffer);
+        const auto framing = inChunks ? std::string("Transfer-Encoding: chunked\r\n")
+                                      : fmt::format("Content-Length: {}\r\n", body.size());
+        const auto since = Clock::now();
+        Uploader upload(fixture,
+                        streamedPut(framing, id(1), kDeadlineMs) + (inChunks ? chunked(body) : body));
+        SlowNode node(fixture.io, acceptor.nextConnection());
+        fixture.waitUntil(
+            [&] { return node.received > body.size() || upload.update(std::chrono::hours(1)); });
+        CHECK(Clock::now() - since > milliseconds(kDeadlineMs));
+        REQUIRE(!upload.answeredAt);
+        fixture.waitUntil([&] { return fixture.engine.counters().requestsSent == 1; });
+        node.send(ok("hecho"));
+        fixture.waitUntil([&] { return upload.connection->hasReceived("hecho"); });
+    }
+}
--- a/tests/support/stalled_node.h
+++ b/tests/support/stalled_node.h
@@ -15,11 +15,12 @@
 /// Replaces node "s-0" of a fixture. The test decides when to read from a connection.
 class StalledNode {
 public:
-    explicit StalledNode(GatewayFixture& fixture) : fixture_(fixture), acceptor_(fixture.io) {
+    explicit StalledNode(GatewayFixture& fixture, int receiveBufferBytes = 4 * 1024)
+        : fixture_(fixture), acceptor_(fixture.io) {
         acceptor_.open(tcp::v4());
         // Both are inherited by the accepted sockets; a loopback segment alone would fill the buffer.
         acceptor_.set_option(asio::detail::socket_option::integer<IPPROTO_TCP, TCP_MAXSEG>(kSegmentBytes));
-        acceptor_.set_option(asio::socket_base::receive_buffer_size(kReceiveBufferBytes));
+        acceptor_.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes));
         acceptor_.bind({asio::ip::make_address("127.0.0.1"), 0});
         acceptor_.listen();
         accept();
@@ -37,7 +38,6 @@
 
 private:
     static constexpr int kSegmentBytes = 1460;
-    static constexpr int kReceiveBufferBytes = 4 * 1024;
 
     void accept() {
         acceptor_.async_accept([this](const boost::system::error_code& error, tcp::socket socket) {
