--- a/src/app/metrics_report.cpp
+++ b/src/app/metrics_report.cpp
@@ -100,6 +100,7 @@
              {"repeated", counters.repeated},
              {"no_memory", counters.noMemory},
              {"capacity_rejections", counters.crowded},
+             {"left_to_successor", counters.leftToSuccessor},
              {"pipelined", counters.pipelined},
              {"hang_ups", connections.detectedDisconnects}}};
 }
--- a/src/app/proxy.cpp
+++ b/src/app/proxy.cpp
@@ -261,6 +261,7 @@
     else
         engine_.shutdownStarted(signalledAt + shutdown_.serveFor().count());
     front_.setResponseDeadline(signalledAt + shutdown_.respondWithin().count());
+    front_.setLastUnfinishedArrival(signalledAt + shutdown_.mayLeaveUnfinishedFor().count(), transfers);
     return transfers ? ShutdownMode::Transferred : ShutdownMode::WithoutSuccessor;
 }
 
--- a/src/app/shutdown_sequence.cpp
+++ b/src/app/shutdown_sequence.cpp
@@ -17,6 +17,10 @@
 constexpr milliseconds kExpectNoNewConnectionsAfter{300};
 /// The platform's 0.4 s, and time for a connection that is still under way.
 constexpr milliseconds kKeepAcceptingFor{600};
+/// The platform owes no answer for requests that come within 0.7 s after SIGTERM and that SIGKILL cuts off. A
+/// request that comes later, or up to this much earlier as the process may be paused, must have its whole
+/// answer before the kill.
+constexpr milliseconds kUnfinishedAllowedFor{550};
 
 // Times before the kill. Requests are served as usual until the first, all responses are sent by the second,
 // and connections without a request in flight delay the end until the third at the latest.
@@ -56,6 +60,8 @@
 
 microseconds ShutdownSequence::serveFor() const { return killAfter_ - kServeUntilBeforeKill; }
 
+microseconds ShutdownSequence::mayLeaveUnfinishedFor() const { return kUnfinishedAllowedFor; }
+
 microseconds ShutdownSequence::respondWithin() const { return killAfter_ - kRespondBeforeKill; }
 
 ShutdownSequence::NextCall ShutdownSequence::start(ShutdownMode mode, TimePoint now) {
@@ -86,7 +92,9 @@
     const bool accepts = mode_ == ShutdownMode::WithoutSuccessor;
     if (accepts && elapsed >= kExpectNoNewConnectionsAfter) target_.expectNoNewConnections();
     const bool newClientsMayCome = accepts && elapsed < kKeepAcceptingFor;
-    const bool clientsAreServed = target_.activeClients() > 0 && elapsed < serveFor();
+    // The successor serves whoever connects anew, and for as long as needed.
+    const microseconds serveUntil = accepts ? serveFor() : kUnfinishedAllowedFor - kLastRequestsFor;
+    const bool clientsAreServed = target_.activeClients() > 0 && elapsed < serveUntil;
     if (newClientsMayCome || clientsAreServed) return kPollInterval;
     phase_ = ShutdownPhase::ClosingListener;
     target_.closeListeners();
--- a/src/app/shutdown_sequence.h
+++ b/src/app/shutdown_sequence.h
@@ -15,7 +15,8 @@
 ///
 /// "The kill" is the earliest moment at which the platform may send SIGKILL. A process that transferred the
 /// service to a successor accepts no new connections, so it leaves `Draining` as soon as its last client has
-/// disconnected. A successor that never served goes from `Serving` to `Stopped` at once.
+/// disconnected, and 0.45 s after SIGTERM at the latest: it must not take what it cannot finish and the
+/// successor can. A successor that never served goes from `Serving` to `Stopped` at once.
 #pragma once
 
 #include <chrono>
@@ -94,6 +95,9 @@
     [[nodiscard]] bool scheduled() const { return scheduled_; }
     /// How long requests are served as usual, counted from `signalledAt`.
     [[nodiscard]] std::chrono::microseconds serveFor() const;
+    /// How long requests may be taken whose answer may still be under way at the kill; counted from
+    /// `signalledAt`.
+    [[nodiscard]] std::chrono::microseconds mayLeaveUnfinishedFor() const;
     /// The time within which each response is sent, whatever deadline its client allows; counted from
     /// `signalledAt`.
     [[nodiscard]] std::chrono::microseconds respondWithin() const;
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -143,6 +143,8 @@
     if (message->target() == "/up") return respond(200, "", "up\n");  // the readiness path
     ++context_.counters().requests;
     auto& engine = context_.engine();
+    arrivedAt_ = engine.now();
+    if (context_.isLeftToSuccessor(arrivedAt_)) return reject(rejectDuringShutdown(engine.settings()));
     auto result = validateRequest(*message, streamed.has_value(), engine.settings(), context_.requestIds(),
                                   engine.now());
     if (const auto* rejection = std::get_if<Rejection>(&result)) return reject(*rejection);
@@ -191,6 +193,7 @@
 
 void ClientConnection::onBodyCompleted() {
     bodyIncomplete_ = false;
+    arrivedAt_ = context_.engine().now();
     discardPipelined();
     context_.engine().requestBodyCompleted(requestId_, deadline());
 }
@@ -210,7 +213,10 @@
     responseDeadline_.onArrived(bytesRead_ + unread, now);
     if (reader_.mayHaveArrived(unread)) return deadline();
     const bool isNodeStalled = in_.freeSpace() == 0 && activity_.sinceLastByte() >= kStalledNodeTimeout;
-    return isNodeStalled ? now : core::BodyDeadlineChanged::kNone;
+    if (isNodeStalled) return now;
+    // The process ends soon after its last response, whether or not the body is complete by then.
+    if (context_.hasResponseDeadline()) return context_.responseDeadline();
+    return core::BodyDeadlineChanged::kNone;
 }
 
 void ClientConnection::onBodyUnreadable() {
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -46,6 +46,7 @@
     std::size_t consumeBody(char* to, std::size_t capacity) override;
     bool isBodyConsumed() const override { return !bodyIncomplete_ && reader_.body().empty(); }
     void awaitBody(std::function<void()> onBody) override { onBody_ = std::move(onBody); }
+    bool mayStream() const override { return context_.mayStream(arrivedAt_); }
     void startStreaming(const StreamedHead& head, BodySource source) override;
     void resumeStreaming() override { resumeOutput(); }
     void completeStreaming() override;
@@ -94,6 +95,7 @@
     RequestReader reader_;
     Phase phase_ = Phase::ReceivingRequest;
     RequestId requestId_ = 0;
+    Micros arrivedAt_ = 0;  // when the last byte of the request, so far, was read
     bool keepAlive_ = true;
     bool isHttp10_ = false;
     bool hasSentRequest_ = false;   // the client has sent at least one complete head
--- a/src/http/client_stream.h
+++ b/src/http/client_stream.h
@@ -32,6 +32,8 @@
     /// Calls `onBody` once, when more of the request body may have arrived.
     virtual void awaitBody(std::function<void()> onBody) = 0;
 
+    /// Whether the response may be streamed: the process may end before a streamed response does.
+    virtual bool mayStream() const = 0;
     /// Starts a streamed response; `source` is called whenever the client's send buffer has space.
     virtual void startStreaming(const StreamedHead& head, BodySource source) = 0;
     /// Called when the source of the streamed response has more bytes.
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -30,6 +30,10 @@
     /// from now on, to this time, even where the client's own is later.
     /// \param deadline on the engine's clock, in microseconds
     void setResponseDeadline(Micros deadline) { context_.setResponseDeadline(deadline); }
+    /// See `FrontContext::setLastUnfinishedArrival`.
+    void setLastUnfinishedArrival(Micros time, bool hasSuccessor) {
+        context_.setLastUnfinishedArrival(time, hasSuccessor);
+    }
     /// Called when clients can no longer open connections: waiting requests are shed to keep some of the open
     /// connections free.
     void expectNoNewConnections() { context_.expectNoNewConnections(); }
--- a/src/http/rejection.cpp
+++ b/src/http/rejection.cpp
@@ -45,6 +45,12 @@
     return {503, retryAfterField(settings, net::toMicros(kOverloadRetryAfter)), "", nullptr, true};
 }
 
+Rejection rejectDuringShutdown(const Settings& settings) {
+    auto rejection = rejectPartialRequest(settings);
+    rejection.counter = &FrontCounters::leftToSuccessor;
+    return rejection;
+}
+
 Rejection rejectBeyondMemoryBudget(const Settings& settings) {
     auto rejection = rejectPartialRequest(settings);
     rejection.counter = &FrontCounters::noMemory;
--- a/src/http/rejection.h
+++ b/src/http/rejection.h
@@ -33,6 +33,8 @@
 Rejection rejectUnreadableBody();
 /// Rejects a request whose body does not fit into the memory budget.
 Rejection rejectBeyondMemoryBudget(const Settings& settings);
+/// Rejects a request that came so late that this process may end before its answer does; another one serves.
+Rejection rejectDuringShutdown(const Settings& settings);
 /// Rejects a partly received request whose connection is evicted, or closed by a shutdown.
 Rejection rejectPartialRequest(const Settings& settings);
 /// Rejects a request that was not completely received in time.
--- a/src/http/request_attempt.cpp
+++ b/src/http/request_attempt.cpp
@@ -165,6 +165,7 @@
 void RequestAttempt::startStreaming() {
     const auto client = client_.lock();
     if (!client) return fail();
+    if (!client->mayStream()) return refuseToStream();
     streaming_ = true;
     const auto& parser = reader_->parser();
     ClientStream::StreamedHead head;
@@ -230,6 +231,15 @@
     finishAttempt(std::move(result));
 }
 
+// Ends the attempt, whose response is too long to be sent before this process ends. No other attempt could do
+// better, so the request counts as spent.
+void RequestAttempt::refuseToStream() {
+    core::AttemptFinished result;
+    result.outcome = Outcome::Error;
+    result.requestSpent = true;
+    finishAttempt(std::move(result));
+}
+
 void RequestAttempt::closeConnection() {
     stallTimer_.stop();
     socketReader_.stop();
--- a/src/http/request_attempt.h
+++ b/src/http/request_attempt.h
@@ -61,6 +61,7 @@
 
     // Streaming the response to the client.
     void startStreaming();
+    void refuseToStream();
     std::size_t consumeResponse(char* to, std::size_t capacity);
     void continueStreaming(std::size_t consumed, boost::system::error_code error);
 
--- a/tests/app/shutdown_sequence_test.cpp
+++ b/tests/app/shutdown_sequence_test.cpp
@@ -136,6 +136,22 @@
     CHECK(shutdown.target.calls == Calls{"closeListeners"});
 }
 
+// Guards against answers that SIGKILL cuts off: the old process of an upgrade went on taking requests to the
+// end.
+TEST_CASE("shutdown: after a transfer clients that stay are left to the successor 0.55 s after SIGTERM") {
+    Shutdown shutdown;
+    shutdown.target.clients = 1;
+    shutdown.target.connections = 1;
+    shutdown.target.idle = 1;
+    shutdown.startAt(ShutdownMode::Transferred);
+    CHECK(shutdown.advanceAt(449ms) == 20ms);
+    CHECK(shutdown.advanceAt(450ms) == 100ms);
+    CHECK(shutdown.sequence.phase() == ShutdownPhase::ClosingListener);
+    CHECK(!shutdown.advanceAt(550ms));
+    CHECK(shutdown.target.calls == Calls{"closeListeners", "closeIdleConnections", "stop"});
+    CHECK(shutdown.sequence.mayLeaveUnfinishedFor() == 550ms);
+}
+
 TEST_CASE("shutdown: after a transfer the target is not told to expect no new connections") {
     Shutdown shutdown;
     shutdown.target.clients = 1;
--- a/tests/hot_restart/hot_restart_process_test.cpp
+++ b/tests/hot_restart/hot_restart_process_test.cpp
@@ -102,6 +102,20 @@
     upgrade.checkOldExitsCleanly();
 }
 
+// Guards against answers that SIGKILL cuts off: a client that rests on the old process is served by the new
+// one.
+TEST_CASE("upgrade: the old process closes resting connections within 0.7 s after SIGTERM and ends") {
+    Upgrade upgrade;
+    const auto signalledAt = std::chrono::steady_clock::now();
+    upgrade.transfer();
+    upgrade.platform.fixture.waitUntil([&] { return upgrade.connection->ended; });
+    CHECK(std::chrono::steady_clock::now() - signalledAt < std::chrono::milliseconds(700));
+    CHECK(upgrade.connection->endedWith == asio::error::eof);
+    upgrade.checkOldExitsCleanly();
+    CHECK(std::chrono::steady_clock::now() - signalledAt < std::chrono::seconds(2));
+    upgrade.serveNewClient();
+}
+
 TEST_CASE("upgrade: two in a row under requests, and a node that was drained in between stays drained") {
     Platform platform;
     answerAll(platform);
--- a/tests/http/graceful_shutdown_test.cpp
+++ b/tests/http/graceful_shutdown_test.cpp
@@ -62,6 +62,75 @@
     CHECK(partial->hasReceived("Connection: close"));
 }
 
+// Guards against answers that SIGKILL cuts off: nothing limits how long a streamed response takes.
+TEST_CASE("a request that comes late in a shutdown gets a short response, and no long one") {
+    const struct {
+        const char* kind;
+        const char* status;  // in place of a long response
+    } cases[] = {{"lectura", " 503 "}, {"alta", " 500 "}};
+    for (const auto& c : cases) {
+        for (const bool inChunks : {false, true}) {
+            CAPTURE(c.kind);
+            CAPTURE(inChunks);
+            GatewayFixture fixture;
+            fixture.front.setLastUnfinishedArrival(fixture.engine.now() - 1, false);
+            const auto client = fixture.client();
+            client->send(PlatformRequest{.id = id(1), .kind = c.kind}.text());
+            fixture.waitForNodeToReceive(id(1))->send(ok("corta"));
+            fixture.waitUntil([&] { return client->hasReceived("corta"); });
+            client->clearReceived();
+            client->send(PlatformRequest{.id = id(2), .kind = c.kind}.text());
+            const auto node = fixture.waitForNodeToReceive(id(2));
+            if (inChunks)
+                node->send(fmt::format("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{}\r\n",
+                                       kLongBody.size(), kLongBody));
+            else
+                node->send(
+                    fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\npart", kLongBody.size()));
+            fixture.waitUntil([&] { return client->hasReceived("\r\n\r\n"); });
+            CHECK(client->hasReceived(c.status));
+            CHECK(fixture.engine.counters().attempts == 2);  // another attempt could do no better
+            fixture.waitUntil([&] { return node->ended; });
+        }
+    }
+}
+
+TEST_CASE("a request that came in time in a shutdown gets its long response") {
+    GatewayFixture fixture;
+    const auto client = fixture.client();
+    client->send(PlatformRequest{.id = id(1)}.text());
+    const auto node = fixture.waitForNodeToReceive(id(1));
+    fixture.front.setLastUnfinishedArrival(fixture.engine.now(), true);
+    node->send(ok(kLongBody));
+    fixture.waitUntil([&] { return client->received.size() > kLongBody.size(); });
+    CHECK(client->hasReceived(" 200 "));
+}
+
+TEST_CASE("a request that comes late in an upgrade is rejected and reaches no node") {
+    GatewayFixture fixture;
+    fixture.front.startDraining();
+    fixture.front.setLastUnfinishedArrival(fixture.engine.now() - 1, true);
+    for (const std::string& text :
+         {PlatformRequest{}.text(), streamedPut("Content-Length: 200000\r\n") + "part"}) {
+        const auto client = fixture.client();
+        client->send(text);
+        fixture.waitUntil([&] { return client->hasReceived("\r\n\r\n") && client->ended; });
+        CHECK(client->hasReceived(" 503 "));
+    }
+    CHECK(fixture.front.counters().leftToSuccessor == 2);
+    CHECK(fixture.engine.counters().received == 0);
+}
+
+TEST_CASE("a body that is not complete when a shutdown has to respond gets a failure") {
+    GatewayFixture fixture;
+    const auto client = fixture.client();
+    client->send(streamedPut("Content-Length: 200000\r\n", id(1), 30'000) + "part");
+    fixture.waitForNodeToReceive("part");
+    fixture.front.setResponseDeadline(fixture.engine.now() + 200'000);
+    fixture.waitUntil([&] { return client->hasReceived(" 500 "); });
+    CHECK(fixture.engine.openRequests() == 0);
+}
+
 TEST_CASE("draining: waiting clients are accepted, responses close their connections, idle ones are closed") {
     GatewayFixture fixture;
     const auto busy = fixture.client(), idle = fixture.client();
--- a/tests/http/node_request_writer_test.cpp
+++ b/tests/http/node_request_writer_test.cpp
@@ -20,6 +20,7 @@
     }
     bool isBodyConsumed() const override { return received.empty() && complete; }
     void awaitBody(std::function<void()>) override {}
+    bool mayStream() const override { return true; }
     void startStreaming(const StreamedHead&, BodySource) override {}
     void resumeStreaming() override {}
     void completeStreaming() override {}
--- a/tests/http/pending_request_test.cpp
+++ b/tests/http/pending_request_test.cpp
@@ -13,6 +13,7 @@
     std::size_t consumeBody(char*, std::size_t) override { return 0; }
     bool isBodyConsumed() const override { return true; }
     void awaitBody(std::function<void()>) override {}
+    bool mayStream() const override { return true; }
     void startStreaming(const StreamedHead&, BodySource) override {}
     void resumeStreaming() override {}
     void completeStreaming() override { ++streamsCompleted; }
