--- a/src/app/proxy.cpp
+++ b/src/app/proxy.cpp
@@ -260,7 +260,9 @@
         hotRestart_->transferService();
     else
         engine_.shutdownStarted(signalledAt + shutdown_.serveFor().count());
-    front_.setResponseDeadline(signalledAt + shutdown_.respondWithin().count());
+    const Micros responseDeadline = signalledAt + shutdown_.respondWithin().count();
+    front_.setResponseDeadline(responseDeadline);
+    if (rsync_) rsync_->setResponseDeadline(responseDeadline);
     front_.setLastUnfinishedArrival(signalledAt + shutdown_.mayLeaveUnfinishedFor().count(), transfers);
     return transfers ? ShutdownMode::Transferred : ShutdownMode::WithoutSuccessor;
 }
--- a/src/rsync/client_session.cpp
+++ b/src/rsync/client_session.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -93,7 +94,8 @@
     request.planIndex = module.plan;
     request.key = module.volume + "/" + transfer.arguments.back();
     request.volume = module.volume;
-    request.deadlineUs = context_.engine.now() + module.deadlineUs;
+    request.deadlineUs =
+        std::min<Micros>(context_.engine.now() + module.deadlineUs, context_.responseDeadline);
     request.units = module.units;
     request.cell = module.cell;
     request.volumeHosts = module.hosts;
--- a/src/rsync/front.h
+++ b/src/rsync/front.h
@@ -26,6 +26,9 @@
 
     /// The listener and its connections, for shutdown and metrics. Valid as long as the front.
     net::SessionManager& sessionManager() { return sessionManager_; }
+    /// Sets the time by which transfers that are requested from now on have ended. Set during a shutdown.
+    /// \param deadline on the engine's clock, in microseconds
+    void setResponseDeadline(Micros deadline) { context_.responseDeadline = deadline; }
     /// Totals since the start.
     const Counters& counters() const { return context_.counters; }
 
--- a/src/rsync/front_context.h
+++ b/src/rsync/front_context.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 
 #include "config/operator_config.h"
 #include "net/engine.h"
@@ -28,6 +29,8 @@
     net::NodePool& pool;
     const config::RsyncFront config;
     FrontCounters counters = {};
+    /// Transfers that are requested from now on end at this time at the latest, on the engine's clock.
+    Micros responseDeadline = std::numeric_limits<Micros>::max();
 };
 
 }  // namespace wingproxy::rsync
--- a/tests/http/stalled_uploads_test.cpp
+++ b/tests/http/stalled_uploads_test.cpp
@@ -19,8 +19,14 @@
 // How long after a client's deadline its answer still counts.
 constexpr milliseconds kAnswerGrace{500};
 
-std::string chunked(const std::string& body) {
-    return fmt::format("{:x}\r\n{}\r\n0\r\n\r\n", body.size(), body);
+// The request of a client that waits `deadlineMs`, with a body of `bodyBytes`.
+std::string upload(int number, std::size_t bodyBytes, int deadlineMs, bool inChunks) {
+    std::string body;
+    body.assign(bodyBytes, 'x');
+    if (!inChunks)
+        return streamedPut(fmt::format("Content-Length: {}\r\n", bodyBytes), id(number), deadlineMs) + body;
+    return streamedPut("Transfer-Encoding: chunked\r\n", id(number), deadlineMs) +
+           fmt::format("{:x}\r\n{}\r\n0\r\n\r\n", bodyBytes, body);
 }
 
 // A client that writes a long body, and notes when the front's machine has taken its last byte.
@@ -82,7 +88,42 @@
 
     tcp::socket socket_;
     asio::steady_timer timer_;
-    std::array<char, 64 * 1024> piece_{};
+    std::array<char, std::size_t{64} * 1024> piece_{};
+};
+
+// Clients that send bodies of 100 kB to 3 MB at once: of some of them the last bytes wait at the front when
+// the node takes no more.
+class Uploads {
+public:
+    Uploads(GatewayFixture& fixture, int deadlineMs, bool inChunks)
+        : fixture_(fixture), deadline_(deadlineMs) {
+        for (int i = 1; i <= 30; ++i)
+            uploaders_.push_back(std::make_unique<Uploader>(
+                fixture, upload(i, std::size_t(i) * 100'000, deadlineMs, inChunks)));
+    }
+    // Waits until each request that was taken is answered, and checks that the answer is in time.
+    void checkAnswers() {
+        fixture_.waitUntil([this] { return areDone(); }, "an answer to each request that was taken");
+        int taken = 0;
+        for (const auto& uploader : uploaders_) {
+            if (!uploader->takenAt) continue;
+            ++taken;
+            CHECK(*uploader->answeredAt - *uploader->takenAt < deadline_ + kAnswerGrace);
+        }
+        CHECK(taken > 0);
+    }
+
+private:
+    bool areDone() {
+        bool done = true;
+        for (const auto& uploader : uploaders_)
+            done = uploader->update(deadline_ + kAnswerGrace) && done;
+        return done;
+    }
+
+    GatewayFixture& fixture_;
+    milliseconds deadline_;
+    std::vector<std::unique_ptr<Uploader>> uploaders_;
 };
 
 }  // namespace
@@ -96,29 +137,7 @@
             CAPTURE(inChunks);
             GatewayFixture fixture;
             StalledNode node(fixture);
-            std::vector<std::unique_ptr<Uploader>> uploads;
-            for (int kilobytes = 100; kilobytes <= 3000; kilobytes += 100) {
-                const std::string body(std::size_t(kilobytes) * 1000, 'x');
-                const auto framing = inChunks ? std::string("Transfer-Encoding: chunked\r\n")
-                                              : fmt::format("Content-Length: {}\r\n", body.size());
-                uploads.push_back(std::make_unique<Uploader>(
-                    fixture,
-                    streamedPut(framing, id(kilobytes), deadlineMs) + (inChunks ? chunked(body) : body)));
-            }
-            const milliseconds deadline(deadlineMs);
-            fixture.waitUntil(
-                [&] {
-                    bool done = true;
-                    for (const auto& upload : uploads)
-                        done = upload->update(deadline + kAnswerGrace) && done;
-                    return done;
-                },
-                "an answer to each request that was taken");
-            const auto taken = std::count_if(uploads.begin(), uploads.end(),
-                                             [](const auto& upload) { return upload->takenAt.has_value(); });
-            CHECK(taken > 0);
-            for (const auto& upload : uploads)
-                if (upload->takenAt) CHECK(*upload->answeredAt - *upload->takenAt < deadline + kAnswerGrace);
+            Uploads(fixture, deadlineMs, inChunks).checkAnswers();
         }
     }
 }
@@ -127,23 +146,20 @@
 TEST_CASE("a body that takes longer than its client's timeout is served if its node goes on reading") {
     constexpr int kDeadlineMs = 1500;
     constexpr int kNodeReceiveBuffer = 64 * 1024;
-    const std::string body(30'000'000, 'x');
+    constexpr std::size_t kBodyBytes = 30'000'000;
     for (const bool inChunks : {false, true}) {
         CAPTURE(inChunks);
         GatewayFixture fixture;
         StalledNode acceptor(fixture, kNodeReceiveBuffer);
-        const auto framing = inChunks ? std::string("Transfer-Encoding: chunked\r\n")
-                                      : fmt::format("Content-Length: {}\r\n", body.size());
         const auto since = Clock::now();
-        Uploader upload(fixture,
-                        streamedPut(framing, id(1), kDeadlineMs) + (inChunks ? chunked(body) : body));
+        Uploader uploader(fixture, upload(1, kBodyBytes, kDeadlineMs, inChunks));
         SlowNode node(fixture.io, acceptor.nextConnection());
         fixture.waitUntil(
-            [&] { return node.received > body.size() || upload.update(std::chrono::hours(1)); });
+            [&] { return node.received > kBodyBytes || uploader.update(std::chrono::hours(1)); });
         CHECK(Clock::now() - since > milliseconds(kDeadlineMs));
-        REQUIRE(!upload.answeredAt);
+        REQUIRE(!uploader.answeredAt);
         fixture.waitUntil([&] { return fixture.engine.counters().requestsSent == 1; });
         node.send(ok("hecho"));
-        fixture.waitUntil([&] { return upload.connection->hasReceived("hecho"); });
+        fixture.waitUntil([&] { return uploader.connection->hasReceived("hecho"); });
     }
 }
--- a/tests/rsync/front_test.cpp
+++ b/tests/rsync/front_test.cpp
@@ -292,6 +292,20 @@
     CHECK(fixture.node().connections.size() == 1);
 }
 
+// Guards against transfers that SIGKILL cuts off.
+TEST_CASE("rsync front: a transfer that is requested in a shutdown ends when the last responses are due") {
+    GatewayFixture fixture;
+    fixture.rsync.setResponseDeadline(fixture.engine.now() + 300'000);
+    const auto since = std::chrono::steady_clock::now();
+    const auto transfer = startPull(fixture);  // its module allows 2 s
+    const auto node = transfer.acceptAtNode();
+    node->send(kSeed + dataFrame(kFileList));
+    transfer.awaitText(transfer.client, kFileList);
+    fixture.waitUntil([&] { return transfer.client->ended && node->ended; });
+    CHECK(std::chrono::steady_clock::now() - since < std::chrono::milliseconds(1500));
+    CHECK(fixture.rsync.counters().failed == 1);
+}
+
 // Guards against a push that a node completes long after its client left.
 TEST_CASE("rsync front: what a node has not read of a push is not delivered after the client disconnected") {
     GatewayFixture fixture;
