--- a/review/stand_ins_2/stand_ins.h
+++ b/review/stand_ins_2/stand_ins.h
@@ -738,7 +738,8 @@
         int inheritedFd = -1;   ///< the platform's listening socket, passed as descriptor 7
         std::string folder;     ///< $TMPDIR
         std::string logPath;
-        std::string logLevel;
+        int peerPort = 0;       ///< `peer_listen`; 0: no peers
+        std::vector<int> peerPorts;  ///< of all fronts, in the order of their numbers
     };
     Front(const std::string& root, Options options) : options_(std::move(options)) {
         const std::string config =
@@ -747,7 +748,7 @@
                  options_.name.c_str(), options_.listenPort, options_.discovery.c_str(), options_.deployment.memoryMb,
                  options_.deployment.sockets) +
             (options_.mgmtPort ? text("\"mgmt\":\"127.0.0.1:%d\",\n", options_.mgmtPort) : "") +
-            "\"peers\":[],\n\"known\":" + options_.known + ",\n\"settings\":" + options_.deployment.json() + "}\n";
+            peers() + "\"known\":" + options_.known + ",\n\"settings\":" + options_.deployment.json() + "}\n";
         configPath_ = options_.logPath + ".config.json";
         writeFile(configPath_, config);
         start(root);
@@ -785,6 +786,13 @@
     }
 
 private:
+    std::string peers() const {
+        if (options_.peerPort == 0) return "\"peers\":[],\n";
+        std::string out = text("\"peer_listen\":\"127.0.0.1:%d\",\"peers\":[", options_.peerPort);
+        for (std::size_t i = 0; i < options_.peerPorts.size(); ++i)
+            out += text("%s\"127.0.0.1:%d\"", i == 0 ? "" : ",", options_.peerPorts[i]);
+        return out + "],\n";
+    }
     void start(const std::string& root) {
         const std::string command = deployCommand(root, "run");
         const std::string listen = "127.0.0.1:" + std::to_string(options_.listenPort);
