--- a/review/stand_ins_2/stand_ins.h
+++ b/review/stand_ins_2/stand_ins.h
@@ -696,6 +696,7 @@
     int cells = 4;
     int memoryMb = 192;
     int sockets = 1024;
+    int drainGraceMs = 1000;
     std::string json() const {
         return text(
                    "{\"me\":%d,\"replicasOfMe\":%d,\"registryMode\":\"%s\",\"roundUs\":2000,\"zone\":\"barracas\",", me,
@@ -711,15 +712,15 @@
  {"name":"exportacion","aimUs":1500000,"deadlineUs":5000000,"effect":"idempotent","keyScope":"all","lateWorth":0.3,
   "stream":false,"value":1.0,"windowUs":5000000}],
 "clients":{"marksRetry":false},"family":"stores","weights":"rough",
-"obligations":{"answerSlackUs":8000,"askEveryUs":10000000,"drainGraceUs":1000000,"fallMultiple":2.5,"fallUs":3000000,
- "startCapacity":0.28,"warmAfterUs":15000000},
 "report":{"columns":["depth"],"how":"answers"},
 "serviceLevels":[
  {"name":"basico","baseRate":4.1,"guaranteed":2.0,"limit":33.0,"limitBurst":53.0,"limitSlack":6.0,"shares":1.0,
   "valueFactor":0.96},
  {"name":"prioritario","baseRate":8.2,"guaranteed":8.2,"limit":0.0,"limitBurst":0.0,"limitSlack":0.0,"shares":2.0,
   "valueFactor":0.9}],
-)" + text("\"extra\":{\"changesData\":[false,true,false],\"coldBears\":51.0,\"maxUnits\":6,\"meanUnits\":2.06,"
+)" + text("\"obligations\":{\"answerSlackUs\":8000,\"askEveryUs\":10000000,\"drainGraceUs\":%d,"
+          "\"fallMultiple\":2.5,\"fallUs\":3000000,\"startCapacity\":0.28,\"warmAfterUs\":15000000},\n", drainGraceMs * 1000) +
+          text("\"extra\":{\"changesData\":[false,true,false],\"coldBears\":51.0,\"maxUnits\":6,\"meanUnits\":2.06,"
           "\"meterUs\":1000000,\"saysOthers\":true,\"shards\":%d,\"spareWorth\":0.05,\"withinShare\":0.3}}",
           cells);
     }
