--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -7,18 +7,18 @@
 using namespace review;
 
 constexpr int kCells = 4;
-constexpr double kPause = 0.3;     // seconds between two pieces of an answer
+constexpr double kPause = 0.3;  // seconds between two pieces of an answer
 constexpr int kPieces = 3;
 constexpr double kToldWithin = 6;  // "counts as told 6 s later at the latest"
 constexpr double kGrace = 1.0;     // `drainGraceUs`
 constexpr double kSlack = 0.05;    // "every time limit is 50 ms longer"
 constexpr int kClientsOfCell = 4;
-constexpr double kWatchFor = 12;   // seconds from the drains to the end of the draining chunk servers
+constexpr double kWatchFor = 12;  // seconds from the drains to the end of the draining chunk servers
 
 struct Book {
     std::mutex mutex;
     std::map<std::string, std::vector<double>> arrivals;  ///< by chunk server
-    int cutOff = 0;                                       ///< requests whose chunk server ended while they ran
+    int cutOff = 0;  ///< requests whose chunk server ended while they ran
 };
 
 bool writeSlowly(Connection& connection, const std::string& bytes) {
@@ -46,14 +46,16 @@
                 if (server.isDead()) {
                     const std::lock_guard lock(book.mutex);
                     ++book.cutOff;
-                    script.record.line("%s: ended while %s ran", server.id.c_str(), request.field("req-id").c_str());
+                    script.record.line("%s: ended while %s ran", server.id.c_str(),
+                                       request.field("req-id").c_str());
                     return false;
                 }
                 return connection.write(response(200, request.field("req-id"), "Srv-Load: queue=0\r\n"));
             }));
         discovery.set(*servers.back(), "up", startedAtMs);
     };
-    for (int cell = 0; cell < kCells; ++cell) add(text("s-old-%d", cell), cell, 0);
+    for (int cell = 0; cell < kCells; ++cell)
+        add(text("s-old-%d", cell), cell, 0);
     if (troubled()) discovery.setWrite(writeSlowly);
     Front::Options options;
     options.listenPort = freePort();
@@ -86,7 +88,8 @@
                 const Answer answer = client.ask(request);
                 ++(answer.status == 200 ? served : notServed);
                 if (answer.status != 200 && answer.sentAt > endedAt && cell < 2) ++notServedAfterEnd;
-                script.record.line("client: %s for cell %d: %s", request.id.c_str(), cell, answer.what().c_str());
+                script.record.line("client: %s for cell %d: %s", request.id.c_str(), cell,
+                                   answer.what().c_str());
                 sleepFor(0.1);
             }
         });
@@ -108,7 +111,8 @@
     script.record.line("platform: the draining chunk servers have ended");
     sleepFor(4);
     stopping = true;
-    for (auto& client : clients) client.join();
+    for (auto& client : clients)
+        client.join();
 
     int late = 0;
     for (const auto& [id, at] : madeAt) {
@@ -118,13 +122,14 @@
         for (const double arrival : book.arrivals[id])
             if (arrival > at + kToldWithin + kGrace + kSlack) ++count, last = arrival;
         late += count;
-        script.record.line("sum: %s, draining since %.2f: %d requests after the grace, the last at %.2f", id.c_str(), at,
-                           count, last);
+        script.record.line("sum: %s, draining since %.2f: %d requests after the grace, the last at %.2f",
+                           id.c_str(), at, count, last);
     }
-    const std::string sum =
-        text("%d requests served, %d not; %d sent to draining chunk servers later than 7.05 s after the change; %d of them "
-             "cut off when those ended, and %d not served after that, though the successors were up",
-             served.load(), notServed.load(), late, book.cutOff, notServedAfterEnd.load());
+    const std::string sum = text(
+        "%d requests served, %d not; %d sent to draining chunk servers later than 7.05 s after the change; "
+        "%d of them "
+        "cut off when those ended, and %d not served after that, though the successors were up",
+        served.load(), notServed.load(), late, book.cutOff, notServedAfterEnd.load());
     if (!front.isRunning()) return script.end(Verdict::Broken, "the front ended; " + sum);
     if (late > 0) return script.end(Verdict::Broken, sum);
     return script.end(served < 50 ? Verdict::CouldNotRun : Verdict::Held, sum);
--- a/review/stand_ins_2/stand_ins.h
+++ b/review/stand_ins_2/stand_ins.h
@@ -1,7 +1,7 @@
 /// \file
-/// Stand-ins for the scripts of this review: chunk servers, discovery, clients and the platform that starts the
-/// fronts. Each connection has a thread of its own with blocking calls, so that a stand-in reads like the sentence
-/// of the page that it follows. All addresses are on 127.0.0.1, all ports are free ones.
+/// Stand-ins for the scripts of this review: chunk servers, discovery, clients and the platform that starts
+/// the fronts. Each connection has a thread of its own with blocking calls, so that a stand-in reads like the
+/// sentence of the page that it follows. All addresses are on 127.0.0.1, all ports are free ones.
 #pragma once
 
 #include <arpa/inet.h>
@@ -44,7 +44,8 @@
 
 namespace review {
 
-// ---------------------------------------------------------------------------------------------- time and record
+// ---------------------------------------------------------------------------------------------- time and
+// record
 
 /// Seconds since the script began, of the steady clock.
 inline double now() {
@@ -104,7 +105,8 @@
     return value == nullptr || std::string(value) != "0";
 }
 
-// ----------------------------------------------------------------------------------------------------- sockets
+// -----------------------------------------------------------------------------------------------------
+// sockets
 
 inline sockaddr_in loopback(int port) {
     sockaddr_in address{};
@@ -125,7 +127,8 @@
     const int on = 1;
     ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
     const sockaddr_in address = loopback(port);
-    if (::bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 || ::listen(fd, 1024) != 0) {
+    if (::bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 ||
+        ::listen(fd, 1024) != 0) {
         ::close(fd);
         return -1;
     }
@@ -238,10 +241,12 @@
     }
 };
 
-// -------------------------------------------------------------------------------------------------------- HTTP
+// --------------------------------------------------------------------------------------------------------
+// HTTP
 
 inline std::string lowerCase(std::string value) {
-    for (char& c : value) c = char(std::tolower(static_cast<unsigned char>(c)));
+    for (char& c : value)
+        c = char(std::tolower(static_cast<unsigned char>(c)));
     return value;
 }
 inline std::string trimmed(const std::string& value) {
@@ -268,9 +273,7 @@
         return first == std::string::npos ? "" : startLine.substr(first + 1, last - first - 1);
     }
     std::string method() const { return startLine.substr(0, startLine.find(' ')); }
-    int status() const {
-        return startLine.rfind("HTTP/1.", 0) == 0 ? std::atoi(startLine.c_str() + 9) : 0;
-    }
+    int status() const { return startLine.rfind("HTTP/1.", 0) == 0 ? std::atoi(startLine.c_str() + 9) : 0; }
     /// One parameter of IO-Info.
     std::string info(const std::string& name) const {
         std::stringstream list(field("io-info"));
@@ -357,11 +360,13 @@
 }
 inline std::string response(int status, const std::string& body, const std::string& fields = "") {
     const char* const reason = status == 200 ? "OK" : "Other";
-    return text("HTTP/1.1 %d %s\r\n%sContent-Length: %zu\r\n\r\n", status, reason, fields.c_str(), body.size()) +
+    return text("HTTP/1.1 %d %s\r\n%sContent-Length: %zu\r\n\r\n", status, reason, fields.c_str(),
+                body.size()) +
            body;
 }
 
-// ------------------------------------------------------------------------------------------------------ servers
+// ------------------------------------------------------------------------------------------------------
+// servers
 
 /// Accepts connections and gives each a thread that runs `serve`.
 class Server {
@@ -393,7 +398,8 @@
                 ::shutdown(fd, SHUT_RDWR);
             }
         }
-        for (auto& thread : threads_) thread.join();
+        for (auto& thread : threads_)
+            thread.join();
     }
 
 private:
@@ -425,7 +431,8 @@
     std::thread acceptor_;
 };
 
-/// A chunk server. `run` gets each whole request and writes the answer; it returns false to end the connection.
+/// A chunk server. `run` gets each whole request and writes the answer; it returns false to end the
+/// connection.
 class ChunkServer {
 public:
     using Run = std::function<bool(ChunkServer&, Connection&, const Message&)>;
@@ -492,8 +499,8 @@
                 list_.erase(entry.id);
             else
                 list_[entry.id] = entry;
-            record_.line("discovery: version %d: %s in cell %d at %s is %s", version_, entry.id.c_str(), entry.cell,
-                         entry.address.c_str(), entry.lifecycle.c_str());
+            record_.line("discovery: version %d: %s in cell %d at %s is %s", version_, entry.id.c_str(),
+                         entry.cell, entry.address.c_str(), entry.lifecycle.c_str());
         }
         changed_.notify_all();
     }
@@ -504,7 +511,8 @@
     std::string wholeList() {
         const std::lock_guard lock(mutex_);
         std::vector<Entry> entries;
-        for (const auto& [id, entry] : list_) entries.push_back(entry);
+        for (const auto& [id, entry] : list_)
+            entries.push_back(entry);
         return render(version_, true, entries);
     }
 
@@ -514,14 +522,16 @@
         Entry entry;
     };
     static std::string render(int version, bool whole, const std::vector<Entry>& entries) {
-        std::string out = text("{\"generation\":%d,\"reset\":%s,\"instances\":[", version, whole ? "true" : "false");
+        std::string out =
+            text("{\"generation\":%d,\"reset\":%s,\"instances\":[", version, whole ? "true" : "false");
         for (std::size_t i = 0; i < entries.size(); ++i) {
             const Entry& entry = entries[i];
             out += text(
-                "%s\n{\"instanceId\":\"%s\",\"hostPort\":\"%s\",\"zone\":\"barracas\",\"machineType\":\"nodo-comun\","
+                "%s\n{\"instanceId\":\"%s\",\"hostPort\":\"%s\",\"zone\":\"barracas\",\"machineType\":\"nodo-"
+                "comun\","
                 "\"cell\":%d,\"lifecycle\":\"%s\",\"weight\":1.0,\"startedAtMs\":%lld}",
-                i == 0 ? "" : ",", entry.id.c_str(), entry.address.c_str(), entry.cell, entry.lifecycle.c_str(),
-                static_cast<long long>(entry.startedAtMs));
+                i == 0 ? "" : ",", entry.id.c_str(), entry.address.c_str(), entry.cell,
+                entry.lifecycle.c_str(), static_cast<long long>(entry.startedAtMs));
         }
         return out + "]}";
     }
@@ -556,7 +566,8 @@
         for (const Change& change : changes_)
             if (change.version > known) newest[change.entry.id] = change.entry;
         std::vector<Entry> entries;
-        for (const auto& [id, entry] : newest) entries.push_back(entry);
+        for (const auto& [id, entry] : newest)
+            entries.push_back(entry);
         return render(version_, false, entries);
     }
     Record& record_;
@@ -571,7 +582,8 @@
     Server server_;
 };
 
-// ------------------------------------------------------------------------------------------------------- clients
+// -------------------------------------------------------------------------------------------------------
+// clients
 
 struct Request {
     std::string id;
@@ -596,9 +608,11 @@
         "%s /api HTTP/1.1\r\nHost: origin.svc\r\nReq-Id: %s\r\nReq-Kind: %s\r\nTier: %s\r\nCookie: key=%s\r\n"
         "Req-Deadline-Ms: %d\r\nIO-Info: volume=%s,units=%d,shard=%d,hosts=%d\r\n",
         request.isWrite() ? "PUT" : "GET", request.id.c_str(), request.kind.c_str(), request.tier.c_str(),
-        request.key.c_str(), request.deadlineMs, request.volume.c_str(), request.units, request.shard, request.hosts);
+        request.key.c_str(), request.deadlineMs, request.volume.c_str(), request.units, request.shard,
+        request.hosts);
     if (request.isWrite())
-        out += text("Idempotency-Key: %s\r\nContent-Length: %zu\r\n", request.id.c_str(), request.body.size());
+        out +=
+            text("Idempotency-Key: %s\r\nContent-Length: %zu\r\n", request.id.c_str(), request.body.size());
     return out + "\r\n" + request.body;
 }
 
@@ -615,8 +629,8 @@
     }
 };
 
-/// A client on one connection, which it keeps. A request that crosses the end of the connection is sent once more
-/// on a new one, as the protocol page says.
+/// A client on one connection, which it keeps. A request that crosses the end of the connection is sent once
+/// more on a new one, as the protocol page says.
 class Client {
 public:
     explicit Client(int port) : port_(port) {}
@@ -654,18 +668,20 @@
 };
 
 /// One call to a front's second address.
-inline Message callAdmin(int port, const std::string& method, const std::string& path, const std::string& body = "",
-                         double timeout = 1) {
+inline Message callAdmin(int port, const std::string& method, const std::string& path,
+                         const std::string& body = "", double timeout = 1) {
     Connection connection;
     Message answer;
     if (!connection.connectTo(port, timeout)) return answer;
-    connection.write(text("%s %s HTTP/1.1\r\nHost: front\r\nContent-Length: %zu\r\nConnection: close\r\n\r\n%s",
-                          method.c_str(), path.c_str(), body.size(), body.c_str()));
+    connection.write(
+        text("%s %s HTTP/1.1\r\nHost: front\r\nContent-Length: %zu\r\nConnection: close\r\n\r\n%s",
+             method.c_str(), path.c_str(), body.size(), body.c_str()));
     readMessage(connection, answer, now() + timeout, true);
     return answer;
 }
 
-// ------------------------------------------------------------------------------------------------------ platform
+// ------------------------------------------------------------------------------------------------------
+// platform
 
 inline std::string readFile(const std::string& path) {
     std::ifstream file(path, std::ios::binary);
@@ -688,7 +704,8 @@
     return {};
 }
 
-/// Settings of a small deployment: those of the wire page's example, with the differences that a script names.
+/// Settings of a small deployment: those of the wire page's example, with the differences that a script
+/// names.
 struct Deployment {
     std::string registryMode = "on_request";
     int me = 0;
@@ -699,8 +716,9 @@
     int drainGraceMs = 1000;
     std::string json() const {
         return text(
-                   "{\"me\":%d,\"replicasOfMe\":%d,\"registryMode\":\"%s\",\"roundUs\":2000,\"zone\":\"barracas\",", me,
-                   fronts, registryMode.c_str()) +
+                   "{\"me\":%d,\"replicasOfMe\":%d,\"registryMode\":\"%s\",\"roundUs\":2000,\"zone\":"
+                   "\"barracas\",",
+                   me, fronts, registryMode.c_str()) +
                R"("zones":["barracas"],"kinds":["nodo-rapido","nodo-comun"],"tier":0,"tiers":["almacen-docs"],
 "allowed":{"cancel":true,"connIdleUs":30000000,"connectTimeoutUs":250000,"maxOpen":21738,"maxRetryAfterUs":500000,
  "mayProbe":true,"peers":true,"retryAfter":true,"secondCopies":true,"streamsPerConn":1,"tryLimit":3},
@@ -718,11 +736,18 @@
   "valueFactor":0.96},
  {"name":"prioritario","baseRate":8.2,"guaranteed":8.2,"limit":0.0,"limitBurst":0.0,"limitSlack":0.0,"shares":2.0,
   "valueFactor":0.9}],
-)" + text("\"obligations\":{\"answerSlackUs\":8000,\"askEveryUs\":10000000,\"drainGraceUs\":%d,"
-          "\"fallMultiple\":2.5,\"fallUs\":3000000,\"startCapacity\":0.28,\"warmAfterUs\":15000000},\n", drainGraceMs * 1000) +
-          text("\"extra\":{\"changesData\":[false,true,false],\"coldBears\":51.0,\"maxUnits\":6,\"meanUnits\":2.06,"
-          "\"meterUs\":1000000,\"saysOthers\":true,\"shards\":%d,\"spareWorth\":0.05,\"withinShare\":0.3}}",
-          cells);
+)" +
+               text(
+                   "\"obligations\":{\"answerSlackUs\":8000,\"askEveryUs\":10000000,\"drainGraceUs\":%d,"
+                   "\"fallMultiple\":2.5,\"fallUs\":3000000,\"startCapacity\":0.28,\"warmAfterUs\":15000000},"
+                   "\n",
+                   drainGraceMs * 1000) +
+               text(
+                   "\"extra\":{\"changesData\":[false,true,false],\"coldBears\":51.0,\"maxUnits\":6,"
+                   "\"meanUnits\":2.06,"
+                   "\"meterUs\":1000000,\"saysOthers\":true,\"shards\":%d,\"spareWorth\":0.05,"
+                   "\"withinShare\":0.3}}",
+                   cells);
     }
 };
 
@@ -736,20 +761,22 @@
         std::string known;
         Deployment deployment;
         int mgmtPort = 0;
-        int inheritedFd = -1;   ///< the platform's listening socket, passed as descriptor 7
-        std::string folder;     ///< $TMPDIR
+        int inheritedFd = -1;  ///< the platform's listening socket, passed as descriptor 7
+        std::string folder;    ///< $TMPDIR
         std::string logPath;
-        int peerPort = 0;       ///< `peer_listen`; 0: no peers
+        int peerPort = 0;            ///< `peer_listen`; 0: no peers
         std::vector<int> peerPorts;  ///< of all fronts, in the order of their numbers
     };
     Front(const std::string& root, Options options) : options_(std::move(options)) {
         const std::string config =
-            text("{\"name\":\"%s\",\"listen\":\"127.0.0.1:%d\",\"discovery\":\"%s\",\"seed\":\"8c1f30d27a5be964\",\n"
-                 "\"limits\":{\"cores\":1.0,\"memory_mb\":%d,\"sockets\":%d},\n",
-                 options_.name.c_str(), options_.listenPort, options_.discovery.c_str(), options_.deployment.memoryMb,
-                 options_.deployment.sockets) +
-            (options_.mgmtPort ? text("\"mgmt\":\"127.0.0.1:%d\",\n", options_.mgmtPort) : "") +
-            peers() + "\"known\":" + options_.known + ",\n\"settings\":" + options_.deployment.json() + "}\n";
+            text(
+                "{\"name\":\"%s\",\"listen\":\"127.0.0.1:%d\",\"discovery\":\"%s\",\"seed\":"
+                "\"8c1f30d27a5be964\",\n"
+                "\"limits\":{\"cores\":1.0,\"memory_mb\":%d,\"sockets\":%d},\n",
+                options_.name.c_str(), options_.listenPort, options_.discovery.c_str(),
+                options_.deployment.memoryMb, options_.deployment.sockets) +
+            (options_.mgmtPort ? text("\"mgmt\":\"127.0.0.1:%d\",\n", options_.mgmtPort) : "") + peers() +
+            "\"known\":" + options_.known + ",\n\"settings\":" + options_.deployment.json() + "}\n";
         configPath_ = options_.logPath + ".config.json";
         writeFile(configPath_, config);
         start(root);
@@ -829,11 +856,13 @@
     std::string root;
     std::string temporary;
     Record record;
-    Script(int argc, char** argv) : root(argument(argc, argv, 1)), record(argument(argc, argv, 2) + "/record.txt") {
+    Script(int argc, char** argv)
+        : root(argument(argc, argv, 1)), record(argument(argc, argv, 2) + "/record.txt") {
         now();
         std::signal(SIGPIPE, SIG_IGN);
-        char path[] = "/tmp/review.XXXXXX";
-        const char* const made = ::mkdtemp(path);
+        const char* const base = std::getenv("TMPDIR");
+        std::string path = std::string(base ? base : "/tmp") + "/review.XXXXXX";
+        const char* const made = ::mkdtemp(path.data());
         temporary = made ? made : "";
         record.line("%s", troubled() ? "with the disruption" : "TROUBLE=0: without the disruption");
     }
