Discovery: a response that has begun is not cut off by the time-outs of the call

Cause: HttpExchange ends a response that brings nothing for 250 ms, and DiscoveryClient's time-out of the call (1.5 s for a continued watch, a quarter of the grace for the first call of a pushed list) ends one in the middle too. The next call meets the same slow server. Ruled out: parsing and the reuse of the connection (a list without pauses is taken).

Change: the call's time-out holds until the response's first byte; then 2 s between two reads and 5 s in all, both under the 6 s after which a change counts as announced. A drain in a list that took over an eighth of the grace (0.5 s at most) counts as old, as an agent knew of it before. The log tells a stalled response from a lost connection; counter slow.

New tests: 'an endpoint list that arrives in pieces is taken' fails with the old stall timeout and with the old time-out of the call, 'a drain that arrived slowly may be old' without the new rule; front and policy tests pass.

--- a/src/app/metrics_report.cpp
+++ b/src/app/metrics_report.cpp
@@ -127,7 +127,8 @@
             {{"calls", counters.calls},
              {"answers", counters.answers},
              {"failed", counters.failed},
-             {"malformed", counters.malformed}}};
+             {"malformed", counters.malformed},
+             {"slow", counters.slow}}};
 }
 
 MetricGroup describeTables(const TableMetrics& tables) {
--- a/src/net/discovery_client.h
+++ b/src/net/discovery_client.h
@@ -21,6 +21,7 @@
         std::uint64_t answers = 0;    ///< endpoint lists received
         std::uint64_t failed = 0;     ///< requests without a list, malformed ones included
         std::uint64_t malformed = 0;  ///< responses that were no endpoint list
+        std::uint64_t slow = 0;  ///< endpoint lists that took longer than `DiscoveryTiming::slowResponse`
     };
 
     /// Where lists are pushed, the watch starts at once; where they are polled, the policy starts it.
@@ -38,9 +39,12 @@
 
 private:
     void poll();
+    void armTimeout(std::chrono::steady_clock::time_point at);
+    void onTimeout();
     void cancelPoll();
     void send(std::shared_ptr<Connection> connection);
     void onResponse(HttpExchange::Result result, const HttpExchange::Response& response);
+    void onList(config::AddressedEndpointList list, std::chrono::steady_clock::duration responseTime);
     void fail(DiscoveryError error);
     void retryLater();
     std::chrono::milliseconds nextWait() const;
--- a/src/net/discovery_error.cpp
+++ b/src/net/discovery_error.cpp
@@ -10,6 +10,8 @@
             return "timed out";
         case DiscoveryError::ConnectionLost:
             return "connection lost";
+        case DiscoveryError::ResponseStalled:
+            return "response stalled";
         case DiscoveryError::UnexpectedStatus:
             return "status other than 200";
         case DiscoveryError::MalformedList:
--- a/src/net/discovery_error.h
+++ b/src/net/discovery_error.h
@@ -9,8 +9,9 @@
 /// Why one request failed. In each case another request follows.
 enum class DiscoveryError {
     ConnectFailed,
-    TimedOut,
+    TimedOut,          ///< no response in time, or its last byte came too late
     ConnectionLost,    ///< before the response was complete, or the response was invalid
+    ResponseStalled,   ///< the response began and stopped half way
     UnexpectedStatus,  ///< other than 200; 503: discovery has too many requests
     MalformedList,
 };
--- a/src/net/http_exchange.cpp
+++ b/src/net/http_exchange.cpp
@@ -39,6 +39,8 @@
 
 void HttpExchange::onRead(const boost::system::error_code& error) {
     stallTimer_.cancel();
+    if (!responseStartedAt_ && connection_->in.size() > 0)
+        responseStartedAt_ = std::chrono::steady_clock::now();
     const bool nodeClosed = error == boost::asio::error::eof;
     if (error && !nodeClosed)
         finish(Result::ConnectionLost);
@@ -64,7 +66,7 @@
 
 void HttpExchange::startStallTimer() {
     stallTimer_.start(stallTimeout_, connection_->socket,
-                      [self = shared_from_this()] { self->finish(Result::ConnectionLost); });
+                      [self = shared_from_this()] { self->finish(Result::Stalled); });
 }
 
 void HttpExchange::finish(Result result) {
--- a/src/net/http_exchange.h
+++ b/src/net/http_exchange.h
@@ -4,8 +4,10 @@
 #pragma once
 
 #include <boost/beast/http/string_body.hpp>
+#include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -28,18 +30,19 @@
         Completed,       ///< the response is complete
         NotWritten,      ///< the connection broke before the request's last byte was written
         ConnectionLost,  ///< it broke later, or the response is invalid
+        Stalled,         ///< the response has begun, and no more of it came within the stall timeout
     };
 
     /// Called once, unless the exchange is cancelled. The response is empty unless the result is Completed.
     using OnFinished = std::function<void(Result, Response)>;
 
-    /// A response that has begun and brings no more bytes within this time ends as ConnectionLost. Otherwise
-    /// a response that announces more bytes than it sends would keep its caller waiting until the deadline.
-    /// Long compared with the retransmission of a lost packet.
+    /// The default stall timeout. Without one, a response that announces more bytes than it sends would keep
+    /// its caller waiting until the deadline. Long compared with the retransmission of a lost packet.
     static constexpr std::chrono::milliseconds kStallTimeout{250};
 
     /// \param request the complete message, which is copied
     /// \param bodyLimit bytes; a longer response is ConnectionLost
+    /// \param stallTimeout longest pause between two reads of a response that has begun
     HttpExchange(std::shared_ptr<Connection> connection, std::string_view request, std::size_t bodyLimit,
                  OnFinished onFinished, std::chrono::microseconds stallTimeout = kStallTimeout);
 
@@ -47,6 +50,10 @@
     void start();
     /// Closes the connection. The callback is not called.
     void cancel();
+    /// When the first byte of the response was read; nothing before that.
+    std::optional<std::chrono::steady_clock::time_point> responseStartedAt() const {
+        return responseStartedAt_;
+    }
     /// After Completed: releases the connection to the caller if it may carry another exchange, else returns
     /// null.
     std::shared_ptr<Connection> takeReusableConnection();
@@ -69,6 +76,7 @@
     SocketReader socketReader_;
     std::chrono::microseconds stallTimeout_;
     StallTimer stallTimer_;
+    std::optional<std::chrono::steady_clock::time_point> responseStartedAt_;
     bool reusable_ = false;
 };
 
--- a/tests/http/discovery_watch_test.cpp
+++ b/tests/http/discovery_watch_test.cpp
@@ -6,6 +6,130 @@
 using namespace wingproxy::test;
 using std::chrono::milliseconds;
 
+namespace {
+
+// Writes a text in pieces of equal length, with a pause before each but the first.
+class PiecewiseWriter {
+public:
+    PiecewiseWriter(asio::io_context& io, TestConnectionPtr to, std::string text, std::size_t pieces,
+                    milliseconds pause)
+        : timer_(io),
+          to_(std::move(to)),
+          text_(std::move(text)),
+          length_(text_.size() / pieces + 1),
+          pause_(pause) {
+        writeNext();
+    }
+
+private:
+    void writeNext() {
+        to_->send(text_.substr(written_, length_));
+        written_ += length_;
+        if (written_ >= text_.size()) return;
+        timer_.expires_after(pause_);
+        timer_.async_wait([this](const boost::system::error_code& error) {
+            if (!error && !to_->ended) writeNext();
+        });
+    }
+
+    asio::steady_timer timer_;
+    TestConnectionPtr to_;
+    std::string text_;
+    std::size_t length_;
+    std::size_t written_ = 0;
+    milliseconds pause_;
+};
+
+// The configuration of a front whose lists are polled or pushed, with a grace period of 1 s.
+config::Config configFor(bool polls) {
+    auto config = testConfig();
+    config.settings.pollsEndpointList = polls;
+    config.settings.drainGraceUs = 1'000'000;
+    return config;
+}
+
+// Waits for a call to discovery on the connection that was opened last, and returns that connection.
+TestConnectionPtr waitForCall(GatewayFixture& fixture, std::size_t connections = 1) {
+    fixture.waitUntil([&] {
+        return fixture.discoveryServer.connections.size() >= connections &&
+               fixture.discoveryServer.connections.back()->hasReceived("\r\n\r\n");
+    });
+    const auto connection = fixture.discoveryServer.connections.back();
+    connection->clearReceived();
+    return connection;
+}
+
+// A response of discovery with one draining node, "s-0".
+std::string drainingList(const GatewayFixture& fixture) {
+    const auto address = fixture.nodes.front()->address();
+    return ok(
+        fmt::format(R"({{"generation":2,"reset":false,"instances":[{{"instanceId":"s-0","hostPort":"{}:{}",)"
+                    R"("zone":"z","cell":0,"lifecycle":"draining","weight":1.0,"startedAtMs":0}}]}})",
+                    address.host, address.port));
+}
+
+}  // namespace
+
+// Guards against a front that cuts off every answer of a slow discovery, and so never gets a list again.
+TEST_CASE("an endpoint list that arrives in pieces is taken, for the first call and for one that waits") {
+    constexpr milliseconds kPause{400};
+    for (const bool polls : {true, false}) {
+        CAPTURE(polls);
+        GatewayFixture fixture(configFor(polls), 1, 64, net::kMaxRingBytes, net::WatchTiming{});
+        const auto connection = waitForCall(fixture);
+        for (const std::uint64_t answers : {1, 2}) {
+            const PiecewiseWriter writer(fixture.io, connection, drainingList(fixture), 4, kPause);
+            fixture.waitUntil([&] { return fixture.discovery.counters().answers == answers; });
+            waitForCall(fixture);
+        }
+        CHECK(fixture.discovery.counters().failed == 0);
+        CHECK(fixture.discoveryServer.connections.size() == 1);
+    }
+}
+
+// Guards against a request to a node whose drain an agent knew long before its slow answer was complete.
+TEST_CASE("pushed lists: a drain that arrived slowly may be old, so the node gets no request") {
+    GatewayFixture fixture(configFor(false));
+    const PiecewiseWriter writer(fixture.io, waitForCall(fixture), drainingList(fixture), 2,
+                                 milliseconds(200));
+    fixture.waitUntil([&] { return fixture.discovery.counters().answers == 1; });
+    CHECK(fixture.discovery.counters().slow == 1);
+    const auto client = fixture.client();
+    client->send(PlatformRequest{.deadlineMs = 3'000}.text());
+    fixture.waitUntil([&] { return client->hasReceived("HTTP/1.1 "); });
+    CHECK(client->hasReceived("HTTP/1.1 503 "));
+    CHECK(fixture.node().connections.empty());
+}
+
+TEST_CASE("a response of discovery that stops half way is given up, and the list is requested again") {
+    for (const bool polls : {true, false}) {
+        CAPTURE(polls);
+        GatewayFixture fixture(configFor(polls), 1, 64, net::kMaxRingBytes,
+                               {.stallTimeout = milliseconds(60)});
+        waitForCall(fixture)->send("HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{");
+        fixture.waitUntil([&] { return fixture.discovery.counters().failed == 1; });
+        waitForCall(fixture, 2)->send(drainingList(fixture));
+        fixture.waitUntil([&] { return fixture.discovery.counters().answers == 1; });
+        CHECK(fixture.engine.listVersion() == 2);
+    }
+}
+
+TEST_CASE("a response of discovery that never ends is given up, and the list is requested again") {
+    for (const bool polls : {true, false}) {
+        CAPTURE(polls);
+        GatewayFixture fixture(configFor(polls), 1, 64, net::kMaxRingBytes,
+                               {.wait = milliseconds(40),
+                                .firstTimeout = milliseconds(40),
+                                .responseTimeout = milliseconds(300)});
+        const PiecewiseWriter writer(fixture.io, waitForCall(fixture), drainingList(fixture), 20,
+                                     milliseconds(50));
+        fixture.waitUntil([&] { return fixture.discovery.counters().failed == 1; });
+        waitForCall(fixture, 2)->send(drainingList(fixture));
+        fixture.waitUntil([&] { return fixture.discovery.counters().answers == 1; });
+        CHECK(fixture.engine.listVersion() == 2);
+    }
+}
+
 TEST_CASE("an endpoint list without a length ends with a FIN and not with a reset") {
     const std::string list =
         "HTTP/1.1 200 OK\r\n\r\n{\n  \"generation\": 9,\n  \"reset\": true,\n  \"instances\": [ ]\n}\n";
--- a/tests/net/discovery_error_test.cpp
+++ b/tests/net/discovery_error_test.cpp
@@ -10,6 +10,7 @@
     CHECK(net::describe(DiscoveryError::ConnectFailed) == "could not connect");
     CHECK(net::describe(DiscoveryError::TimedOut) == "timed out");
     CHECK(net::describe(DiscoveryError::ConnectionLost) == "connection lost");
+    CHECK(net::describe(DiscoveryError::ResponseStalled) == "response stalled");
     CHECK(net::describe(DiscoveryError::UnexpectedStatus) == "status other than 200");
     CHECK(net::describe(DiscoveryError::MalformedList) == "malformed endpoint list");
 }
--- a/tests/net/watch_timing_test.cpp
+++ b/tests/net/watch_timing_test.cpp
@@ -51,3 +51,17 @@
 TEST_CASE("watch timing: a shorter timeout is kept") {
     CHECK(timingFor(false, 400'000, {40ms, 40ms, 30ms}).watch.firstTimeout == 30ms);
 }
+
+TEST_CASE("watch timing: the limits of a response that has begun do not depend on how lists arrive") {
+    for (const bool polls : {true, false}) {
+        const auto timing = timingFor(polls, 400'000);
+        CHECK(timing.watch.stallTimeout == 2'000ms);
+        CHECK(timing.watch.responseTimeout == 5'000ms);
+    }
+}
+
+TEST_CASE("watch timing: the changes in a response that takes longer than a part of the grace may be old") {
+    CHECK(timingFor(true, 400'000).slowResponse == 500ms);
+    CHECK(timingFor(false, 400'000).slowResponse == 50ms);
+    CHECK(timingFor(false, 60'000'000).slowResponse == 500ms);
+}
