Memory: heads, rings and copies of bodies are paid from budgets that fit limits.memory_mb

Seen by operators: with hundreds of clients that write slowly, stop half way or send very many short fields a process passes its memory limit and is killed. Reproduced with 500 to 600 clients at 16 MiB and 1,024 descriptors: peak memory 82 MiB (complete heads of 1,500 fields and half a body), 43 (half a head of 900 fields), 32 (answers of 60 kB), 22 and 18.

Cause: parsed fields (some 90 bytes each besides their text, held twice), both rings of each connection, a copy of the body for each attempt, and strings that keep their memory after their reservation has ended are counted nowhere; and bodies and rings had shares that left no room for the program. Ruled out: idle connections (2 KiB each).

Change: at most 100 fields, counted before they are parsed, 431 beyond; heads are moved and paid from a budget of their own; rings have memory only while they hold bytes; attempts share the body; memory that is done with is freed; the budgets get what program, tables and connections leave. A request whose client has stopped for 250 ms gives its memory up to another one (503).

--- a/src/app/proxy.cpp
+++ b/src/app/proxy.cpp
@@ -68,6 +68,7 @@
       reload_(
           std::move(configPath), config_, [this](const config::Config& newConfig) { applyConfig(newConfig); },
           logger) {
+    applyMemoryBudget();
     installEffectHandlers();
     openRsync(operatorConfig);
     healthHttp_ = openHealthListener("health", operatorConfig.health, health::makeHttpCheckListener);
@@ -182,6 +183,12 @@
     httpPool_.setCapacity(budget_.httpNodes);
     if (rsync_) rsync_->sessionManager().setCapacity(budget_.rsyncClients);
     rsyncPool_.setCapacity(budget_.rsyncNodes);
+    applyMemoryBudget();
+}
+
+void Proxy::applyMemoryBudget() {
+    engine_.bodyBudget().setLimit(budget_.bodyBytes);
+    engine_.headBudget().setLimit(budget_.headBytes);
 }
 
 void Proxy::applyConfig(const config::Config& newConfig) {
--- a/src/app/proxy.h
+++ b/src/app/proxy.h
@@ -71,6 +71,7 @@
     /// \param limitsAreShared whether another process of this gateway has half of the descriptors
     [[nodiscard]] ResourceBudget budgetFor(bool limitsAreShared) const;
     void applyResourceBudget();
+    void applyMemoryBudget();
     void applyConfig(const config::Config& newConfig);
 
     // Health checks, admin requests and signals.
--- a/src/http/buffered_body.h
+++ b/src/http/buffered_body.h
@@ -2,6 +2,7 @@
 /// The buffered body bytes of one message and their reservation in the memory budget.
 #pragma once
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -26,6 +27,9 @@
     /// \param reader net::MessageReader or net::ResponseReader, past the head
     template <typename Reader>
     void readFrom(Reader& reader, net::RingBuffer& in, boost::system::error_code& error) {
+        // A string that grows by itself takes up to twice the memory that is reserved for it.
+        if (bytes_.size() + in.size() > bytes_.capacity())
+            bytes_.reserve(memoryFor(bytes_.size() + in.size()));
         reader.appendBody(in, bytes_, kMaxBufferedBody, error);
     }
 
@@ -47,6 +51,12 @@
     void clear();
 
 private:
+    // The capacity for a body of `count` bytes so far, in quarters of the limit.
+    static std::size_t memoryFor(std::size_t count) {
+        constexpr std::size_t kStep = kMaxBufferedBody / 4;
+        return std::min((count + kStep - 1) / kStep * kStep, kBufferedBodyMemory);
+    }
+
     std::string bytes_;
     net::ByteBudget::Reservation reservation_;
 };
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -116,7 +116,7 @@
         return false;
     }
     const bool isLong = reader_.announcesLongBody();
-    if (!isLong && !reader_.reserveBody(context_.engine().bodyBudget())) {
+    if (!reserveMemory(isLong)) {
         reject(rejectBeyondMemoryBudget(context_.engine().settings()));
         return false;
     }
@@ -127,13 +127,26 @@
     return true;
 }
 
+// Reserves the memory of a request before its body is read. Requests of other clients that make no progress
+// give way.
+bool ClientConnection::reserveMemory(bool bodyIsStreamed) {
+    auto& engine = context_.engine();
+    const auto tryToReserve = [&] {
+        if (!reader_.reserveHead(engine.headBudget())) return false;
+        return bodyIsStreamed || reader_.reserveBody(engine.bodyBudget());
+    };
+    while (!tryToReserve())
+        if (!sessionManager_.evictForMemory()) return false;
+    return true;
+}
+
 void ClientConnection::sendContinue() {
     if (std::exchange(expectsContinue_, false)) send(std::string(kContinueResponse));
 }
 
 // Called when the request is complete, or when its body has to be streamed.
 void ClientConnection::dispatch(std::optional<BodyFraming> streamed) {
-    auto message = std::make_shared<RequestMessage>(RequestHead(reader_.head()));
+    auto message = std::make_shared<RequestMessage>(reader_.takeHead());
     hasSentRequest_ = true;
     keepAlive_ = reader_.parser().keep_alive();
     if (!streamed) {
@@ -161,9 +174,10 @@
     phase_ = Phase::AwaitingResponse;
     context_.onRequestWaiting();
     markActive();
-    auto reservation = streamed ? nullptr : reader_.body().releaseReservation();
+    PendingRequest::Reservations reservations{reader_.releaseHeadReservation(), nullptr};
+    if (!streamed) reservations.body = reader_.body().releaseReservation();
     auto pending = std::make_shared<PendingRequest>(context_, net::sharedFrom(this), message, streamed,
-                                                    std::move(reservation));
+                                                    std::move(reservations));
     requestId_ = context_.engine().submit(std::move(parsed.request), std::move(pending));
     context_.engine().trace("request {} is {}", requestId_, toStringView((*message)["Req-Id"]));
     context_.keepConnectionsFree(sessionManager_.activeConnections());
@@ -268,7 +282,7 @@
     if (isStreaming()) return abortStreaming();
     if (bodyIncomplete_) keepAlive_ = false;
     onBody_ = nullptr;
-    reader_.body().releaseReservation();
+    reader_.discardMessage();
     responseReservation_ = std::move(reservation);
     countResponse(status);
     startSendingResponse();
@@ -317,6 +331,20 @@
     return !reader_.hasBegun() || activity_.sinceLastByte() > kPartialRequestIdle;
 }
 
+bool ClientConnection::canYieldMemory() const {
+    if (isLingering() || unreadBytes() > 0) return false;
+    if (phase_ == Phase::ReceivingRequest) return reader_.hasHead() && isIdle();
+    const bool clientMaySend = bodyIncomplete_ && in_.freeSpace() > 0;
+    return phase_ == Phase::AwaitingResponse && clientMaySend &&
+           activity_.sinceLastByte() > kPartialRequestIdle;
+}
+
+void ClientConnection::yieldMemory() {
+    if (phase_ == Phase::ReceivingRequest) return evict();
+    context_.engine().clientDisconnected(requestId_);
+    reject(rejectBeyondMemoryBudget(context_.engine().settings()));
+}
+
 int ClientConnection::evictionPriority() const {
     if (reader_.hasBegun()) return 2;
     if (hasSentRequest_) return 1;
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -38,6 +38,9 @@
     /// Evicted first: connections that never sent a request and are older than `kPartialRequestIdle`; then
     /// those that sent one; then those with a partial request; last, new connections without a request.
     int evictionPriority() const override;
+    bool canYieldMemory() const override;
+    /// Rejects the request, no byte of which can be served any more.
+    void yieldMemory() override;
     void enforceTimeouts() override;
     /// Rejects a partly received request, as its remainder would be lost.
     void closeGracefully() override;
@@ -66,6 +69,7 @@
     void awaitNextRequest();
     void readRequest();
     bool acceptHead();
+    bool reserveMemory(bool bodyIsStreamed);
     void sendContinue();
     void dispatch(std::optional<BodyFraming> streamed);
     void submit(ParsedRequest parsed, const std::shared_ptr<const RequestMessage>& message,
--- a/src/http/client_limits.h
+++ b/src/http/client_limits.h
@@ -18,7 +18,8 @@
 constexpr std::chrono::milliseconds kOverloadRetryAfter{100};
 
 /// A connection with a partly received request may be evicted for a new client once no byte has arrived for
-/// this long. A connection without a request that is younger than this is evicted last.
+/// this long, and a request whose streamed body has stopped for this long may be rejected when another one
+/// needs its memory. A connection without a request that is younger than this is evicted last.
 constexpr std::chrono::milliseconds kPartialRequestIdle{250};
 
 /// A client that reads no further byte of its response, or sends no further byte of a streamed body, for this
--- a/src/http/message_writer.cpp
+++ b/src/http/message_writer.cpp
@@ -41,8 +41,8 @@
 
 }  // namespace
 
-std::string serializeNodeRequest(const RequestMessage& message, const std::string& host, Micros remainingUs,
-                                 const BodyFraming* streamed) {
+std::string serializeNodeRequestHead(const RequestMessage& message, const std::string& host,
+                                     Micros remainingUs, const BodyFraming* streamed) {
     std::string out = fmt::format("{} {} HTTP/1.1\r\n", toStringView(message.method_string()),
                                   toStringView(message.target()));
     if (message.find(field::host) == message.end()) out += fmt::format("Host: {}\r\n", host);
@@ -55,9 +55,7 @@
     if (streamed) return out + fmt::format("Content-Length: {}\r\n\r\n", streamed->length);
     if (!message.body().empty() || message.method() != beast::http::verb::get)
         out += fmt::format("Content-Length: {}\r\n", message.body().size());
-    out += "\r\n";
-    out += message.body();
-    return out;
+    return out + "\r\n";
 }
 
 std::string serializeResponseHead(int status, std::string_view fields, bool keepAlive) {
--- a/src/http/message_writer.h
+++ b/src/http/message_writer.h
@@ -10,15 +10,15 @@
 
 namespace wingproxy::http {
 
-/// Serializes a client's request for a node: without the hop-by-hop fields, and with the remaining time in
-/// Req-Deadline-Ms.
+/// Serializes the head of a client's request for a node: without the hop-by-hop fields, and with the
+/// remaining time in Req-Deadline-Ms.
 ///
 /// \param host the value of Host if the client sent none
 /// \param remainingUs time until the attempt's timeout; never more than the client's own timeout is written,
 ///        and at least 1 ms
-/// \param streamed if set, only the head is written, and the body follows in this framing
-std::string serializeNodeRequest(const RequestMessage& message, const std::string& host, Micros remainingUs,
-                                 const BodyFraming* streamed = nullptr);
+/// \param streamed the framing of a body that is not part of the message
+std::string serializeNodeRequestHead(const RequestMessage& message, const std::string& host,
+                                     Micros remainingUs, const BodyFraming* streamed = nullptr);
 
 /// Serializes a complete response.
 /// \param fields additional header lines, each with its line end
--- a/src/http/messages.h
+++ b/src/http/messages.h
@@ -7,6 +7,8 @@
 #include <cstddef>
 #include <cstdint>
 
+#include "net/ring_buffer.h"
+
 namespace wingproxy::http {
 
 /// The request line and the header fields.
@@ -22,6 +24,10 @@
 /// buffers.
 constexpr std::size_t kMaxBufferedBody = std::size_t{64} * 1024;
 
+/// The memory in bytes of a buffered body whose length is not known before: its last piece may exceed the
+/// limit.
+constexpr std::size_t kBufferedBodyMemory = kMaxBufferedBody + net::kMaxRingBytes;
+
 /// The maximum body size in bytes; a longer request is rejected with 413, and a longer response is a reset.
 /// It is more than any client of the platform sends, and far below the range of the counters.
 constexpr std::size_t kMaxBody = std::size_t{64} * 1024 * 1024;
--- a/src/http/node_request_writer.cpp
+++ b/src/http/node_request_writer.cpp
@@ -8,13 +8,16 @@
 
 namespace wingproxy::http {
 
-NodeRequestWriter::NodeRequestWriter(std::string text, std::optional<BodyFraming> streamed,
-                                     std::weak_ptr<ClientStream> client)
-    : text_(std::move(text)), streamed_(streamed), client_(std::move(client)) {}
+NodeRequestWriter::NodeRequestWriter(std::string head, std::shared_ptr<const RequestMessage> message,
+                                     std::optional<BodyFraming> streamed, std::weak_ptr<ClientStream> client)
+    : head_(std::move(head)), message_(std::move(message)), streamed_(streamed), client_(std::move(client)) {}
 
 NodeRequestWriter::Progress NodeRequestWriter::fill(net::RingBuffer& out) {
-    if (!queueText(out)) return Progress::BufferFull;
-    if (!streamed_) complete_ = true;
+    if (!queueHead(out)) return Progress::BufferFull;
+    if (!streamed_) {
+        if (!queueBufferedBody(out)) return Progress::BufferFull;
+        complete_ = true;
+    }
     if (complete_) return Progress::Complete;
     const auto client = client_.lock();
     if (!client) return Progress::AwaitingBody;
@@ -23,15 +26,23 @@
     return Progress::BufferFull;
 }
 
-// Returns whether the whole text has been written to the buffer.
-bool NodeRequestWriter::queueText(net::RingBuffer& out) {
-    textQueued_ += out.append(std::string_view(text_).substr(textQueued_));
-    if (textQueued_ < text_.size()) return false;
-    std::string().swap(text_);  // frees its memory
-    textQueued_ = 0;
+// Returns whether the whole head has been written to the buffer.
+bool NodeRequestWriter::queueHead(net::RingBuffer& out) {
+    headQueued_ += out.append(std::string_view(head_).substr(headQueued_));
+    if (headQueued_ < head_.size()) return false;
+    std::string().swap(head_);  // frees its memory
+    headQueued_ = 0;
     return true;
 }
 
+// Returns whether the whole body has been written to the buffer. The body is not copied: each attempt would
+// hold another one.
+bool NodeRequestWriter::queueBufferedBody(net::RingBuffer& out) {
+    const std::string_view body = message_->body();
+    bodyQueued_ += out.append(body.substr(bodyQueued_));
+    return bodyQueued_ == body.size();
+}
+
 // Returns nothing if the next piece can be queued immediately.
 std::optional<NodeRequestWriter::Progress> NodeRequestWriter::queueBodyPiece(ClientStream& client,
                                                                              net::RingBuffer& out) {
--- a/src/http/node_request_writer.h
+++ b/src/http/node_request_writer.h
@@ -25,10 +25,11 @@
         Stopped,       ///< `stop()` was called
     };
 
-    /// \param text the complete request, or only its head if the body is streamed
+    /// \param head the text of the request's head
+    /// \param message has the body that follows the head, unless it is streamed
     /// \param streamed the framing of a body that `client` streams
-    NodeRequestWriter(std::string text, std::optional<BodyFraming> streamed,
-                      std::weak_ptr<ClientStream> client);
+    NodeRequestWriter(std::string head, std::shared_ptr<const RequestMessage> message,
+                      std::optional<BodyFraming> streamed, std::weak_ptr<ClientStream> client);
 
     /// Moves as much as fits to `out`. Consuming the client's body bytes may end the attempt, which calls
     /// `stop()` before this returns.
@@ -41,12 +42,15 @@
     void stop() { stopped_ = true; }
 
 private:
-    bool queueText(net::RingBuffer& out);
+    bool queueHead(net::RingBuffer& out);
+    bool queueBufferedBody(net::RingBuffer& out);
     std::optional<Progress> queueBodyPiece(ClientStream& client, net::RingBuffer& out);
     Progress queueBodyEnd(net::RingBuffer& out);
 
-    std::string text_;
-    std::size_t textQueued_ = 0;  // bytes of the text that have been written to the buffer
+    std::string head_;
+    std::size_t headQueued_ = 0;  // bytes of the head that have been written to the buffer
+    std::shared_ptr<const RequestMessage> message_;
+    std::size_t bodyQueued_ = 0;  // bytes of the message's body that have been written to the buffer
     std::optional<BodyFraming> streamed_;
     std::weak_ptr<ClientStream> client_;
     bool complete_ = false;
--- a/src/http/pending_request.cpp
+++ b/src/http/pending_request.cpp
@@ -12,12 +12,12 @@
 
 PendingRequest::PendingRequest(FrontContext& context, std::weak_ptr<ClientStream> client,
                                std::shared_ptr<const RequestMessage> message,
-                               std::optional<BodyFraming> streamed, net::ByteBudget::Reservation reservation)
+                               std::optional<BodyFraming> streamed, Reservations reservations)
     : context_(context),
       client_(std::move(client)),
       message_(std::move(message)),
       streamed_(streamed),
-      reservation_(std::move(reservation)) {
+      reservations_(std::move(reservations)) {
     context_.requestIds().add(requestId());
 }
 
--- a/src/http/pending_request.h
+++ b/src/http/pending_request.h
@@ -17,12 +17,18 @@
 /// Owned by the engine until the request and all its attempts have ended. The client may disconnect earlier.
 class PendingRequest : public net::RequestHandler {
 public:
+    /// What a request holds of the memory budgets.
+    struct Reservations {
+        net::ByteBudget::Reservation head;
+        net::ByteBudget::Reservation body;  ///< null if the body is streamed
+    };
+
     /// \param context has to outlive the request
     /// \param streamed the framing of a body that is not part of `message`
-    /// \param reservation of the body in `message`, in the memory budget
+    /// \param reservations of `message`
     PendingRequest(FrontContext& context, std::weak_ptr<ClientStream> client,
                    std::shared_ptr<const RequestMessage> message, std::optional<BodyFraming> streamed,
-                   net::ByteBudget::Reservation reservation);
+                   Reservations reservations);
     ~PendingRequest() override;
 
     std::shared_ptr<net::Attempt> startAttempt(const net::AttemptParams& params) override;
@@ -48,7 +54,7 @@
     std::weak_ptr<ClientStream> client_;
     std::shared_ptr<const RequestMessage> message_;
     std::optional<BodyFraming> streamed_;
-    net::ByteBudget::Reservation reservation_;
+    Reservations reservations_;
     std::map<AttemptIndex, BufferedResponse> responses_;
 };
 
--- a/src/http/request_attempt.cpp
+++ b/src/http/request_attempt.cpp
@@ -43,8 +43,8 @@
     engine_.trace("request {} attempt {} connected", params_.id, params_.attempt.value());
     const auto host = fmt::format("{}:{}", params_.node.host, params_.node.port);
     const auto remainingUs = params_.timeoutAt - engine_.now();
-    auto text = serializeNodeRequest(*message_, host, remainingUs, streamed_ ? &*streamed_ : nullptr);
-    requestWriter_.emplace(std::move(text), streamed_, client_);
+    auto head = serializeNodeRequestHead(*message_, host, remainingUs, streamed_ ? &*streamed_ : nullptr);
+    requestWriter_.emplace(std::move(head), message_, streamed_, client_);
     reader_.emplace(connection_->in, kMaxBody);
     write();
     // The response to a buffered request is read once the request is sent; a streamed request may get its
@@ -70,6 +70,7 @@
             self->writing_ = false;
             if (self->ended_) return;
             self->connection_->out.consume(count);
+            self->connection_->out.releaseIfEmpty();
             if (error)
                 self->fail();
             else
@@ -121,7 +122,8 @@
     headReceived_ = true;
     const auto length = reader_->parser().content_length();
     if (isStatusOk() && requestSent_ && length && *length > kMaxBufferedBody) return startStreaming();
-    responseBody_.setReservation(net::reserveBody(reader_->parser(), engine_.bodyBudget(), kMaxBufferedBody));
+    responseBody_.setReservation(
+        net::reserveBody(reader_->parser(), engine_.bodyBudget(), kBufferedBodyMemory));
     if (!responseBody_.hasReservation()) fail();
 }
 
--- a/src/http/request_reader.h
+++ b/src/http/request_reader.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <optional>
+#include <utility>
 
 #include "http/buffered_body.h"
 #include "http/messages.h"
@@ -47,6 +48,15 @@
     /// Whether `readHead` has returned true for this request.
     bool hasHead() const { return headComplete_; }
 
+    /// Reserves memory for the head, and for what the engine holds for a request. Call after the head is
+    /// complete; does nothing if it is reserved already.
+    /// \return false if the budget has too little memory left
+    bool reserveHead(net::ByteBudget& budget);
+    /// Transfers the head's reservation to the caller, who takes the head over.
+    net::ByteBudget::Reservation releaseHeadReservation() { return std::exchange(headReservation_, nullptr); }
+    /// Drops the head and the buffered body, and their reservations. Only the framing is still known.
+    void discardMessage();
+
     /// Reserves memory for a body that will be buffered. Call once, after the head is complete.
     /// \return false if the budget has too little memory left
     bool reserveBody(net::ByteBudget& budget);
@@ -75,8 +85,10 @@
 
     /// The parser, for properties of the message such as its length.
     const Parser& parser() const { return reader_->parser(); }
-    /// The request line and the header fields; valid once `hasHead`.
-    const RequestHead& head() const { return reader_->parser().get().base(); }
+    /// The request line and the header fields; valid once `hasHead`, until `takeHead` or `discardMessage`.
+    const RequestHead& head() const { return head_; }
+    /// Moves the head out. Trailers are no part of it.
+    RequestHead takeHead() { return std::exchange(head_, RequestHead()); }
     /// The buffered part of the body, which `consumeBody` consumes first.
     BufferedBody& body() { return body_; }
     /// The buffered part of the body, which `consumeBody` consumes first.
@@ -85,6 +97,10 @@
 private:
     net::RingBuffer& in_;
     std::optional<net::MessageReader<true>> reader_;
+    void discardTrailers();
+
+    RequestHead head_;
+    net::ByteBudget::Reservation headReservation_;
     BufferedBody body_;
     bool headComplete_ = false;
 };
--- a/src/net/byte_budget.h
+++ b/src/net/byte_budget.h
@@ -27,6 +27,8 @@
         return Reservation(reserved_.get(), [reserved = reserved_, bytes](void*) { *reserved -= bytes; });
     }
 
+    /// Changes the limit. Reservations that exceed a lower one stay.
+    void setLimit(std::size_t limit) { limit_ = limit; }
     /// The number of bytes that are reserved now.
     std::size_t reservedBytes() const { return *reserved_; }
 
--- a/src/net/engine.cpp
+++ b/src/net/engine.cpp
@@ -8,10 +8,11 @@
 
 constexpr RequestId kNoRequest = 0;  // ids count from 1
 
-// Message bodies get 3/8 of the configured memory; the connections' ring buffers get a quarter.
+// Of the configured memory, message bodies get at most 3/8 and the heads of requests at most 1/8.
 std::size_t bodyBytes(const config::Config& config) {
     return std::size_t(config.memoryMb) * 1024 * 1024 * 3 / 8;
 }
+std::size_t headBytes(const config::Config& config) { return std::size_t(config.memoryMb) * 1024 * 1024 / 8; }
 
 }  // namespace
 
@@ -19,6 +20,7 @@
     : io_(io),
       logger_(logger),
       bodyBudget_(bodyBytes(config)),
+      headBudget_(headBytes(config)),
       settings_(config.settings),
       initialEndpoints_(config.cachedEndpoints),
       state_(config.settings, core::AttemptLimits{config.settings.connectTimeoutUs}, clock_.now()),
--- a/src/net/engine.h
+++ b/src/net/engine.h
@@ -166,6 +166,9 @@
     const Clock& clock() const { return clock_; }
     /// Memory for the bodies of all requests and responses.
     ByteBudget& bodyBudget() { return bodyBudget_; }
+    /// Memory for the heads of all requests. Apart from that for bodies, so that requests without a body are
+    /// served while bodies have used theirs up.
+    ByteBudget& headBudget() { return headBudget_; }
     /// The settings, which stay the same for the life of the engine.
     const Settings& settings() const { return settings_; }
     /// The program's log.
@@ -229,6 +232,7 @@
     log::Logger& logger_;
     Clock clock_;
     ByteBudget bodyBudget_;
+    ByteBudget headBudget_;
     Settings settings_;
     config::AddressedEndpointList initialEndpoints_;
     core::FrontState state_;
--- a/src/net/http_exchange.cpp
+++ b/src/net/http_exchange.cpp
@@ -24,6 +24,7 @@
         out.data(), [self = shared_from_this()](const boost::system::error_code& error, std::size_t count) {
             if (!self->onFinished_) return;
             self->connection_->out.consume(count);
+            self->connection_->out.releaseIfEmpty();
             if (error)
                 self->finish(Result::NotWritten);
             else
--- a/src/net/message_reader.h
+++ b/src/net/message_reader.h
@@ -9,6 +9,7 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <cstdint>
+#include <iterator>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -25,6 +26,27 @@
     return std::uint32_t(std::min<std::size_t>(kMaxHeadBytes, in.capacity()));
 }
 
+/// The most header fields of a message. Each costs far more memory than the few bytes that it may have.
+constexpr std::size_t kMaxFields = 100;
+
+/// The number of complete lines in `in`, up to the first empty one, which ends a head.
+inline std::size_t countHeadLines(const RingBuffer& in) {
+    std::size_t lines = 0;
+    bool isLineEmpty = true;
+    for (const std::string_view part : in.newest(in.size())) {
+        for (const char byte : part) {
+            if (byte == '\n') {
+                if (isLineEmpty) return lines;
+                ++lines;
+                isLineEmpty = true;
+            } else if (byte != '\r') {
+                isLineEmpty = false;
+            }
+        }
+    }
+    return lines;
+}
+
 /// Feeds the bytes of `in` to `parser` once and consumes those that the parser used.
 /// \param error set if the bytes are no valid message
 /// \return false if nothing more can be parsed from the bytes received so far
@@ -58,7 +80,8 @@
     /// Continues reading the head.
     /// \return true once the head is complete
     bool readHead(RingBuffer& in, boost::system::error_code& error) {
-        while (in.size() > 0 && !parser_.is_header_done() && parseAvailable(parser_, in, error)) {}
+        if (!parser_.is_header_done()) checkFieldCount(in, error);
+        while (!error && in.size() > 0 && !parser_.is_header_done() && parseAvailable(parser_, in, error)) {}
         return !error && parser_.is_header_done();
     }
 
@@ -104,6 +127,16 @@
     Parser& parser() { return parser_; }
 
 private:
+    // The parser has no such limit, and takes each line of a head as soon as it has arrived.
+    void checkFieldCount(const RingBuffer& in, boost::system::error_code& error) {
+        auto& fields = parser_.get();
+        const auto parsed = std::size_t(std::distance(fields.begin(), fields.end()));
+        constexpr std::size_t kStartLine = 1;
+        if (parsed + countHeadLines(in) <= kMaxFields + kStartLine) return;
+        fields.clear();
+        error = boost::beast::http::error::header_limit;
+    }
+
     // Returns false if the parser needs another buffer or more bytes, or has found an error.
     bool parseBodyBytes(RingBuffer& in, boost::system::error_code& error) {
         const auto used = parser_.put(in.data(), error);
--- a/src/net/node_pool.cpp
+++ b/src/net/node_pool.cpp
@@ -86,6 +86,8 @@
     if (cleared_) return;
     connection->in.clear();
     connection->out.clear();
+    connection->in.releaseIfEmpty();
+    connection->out.releaseIfEmpty();
     connection->idleSince = std::chrono::steady_clock::now();
     idle_[connection->node].push_back(std::move(connection));
 }
--- a/src/net/pending_output.cpp
+++ b/src/net/pending_output.cpp
@@ -11,7 +11,7 @@
 void PendingOutput::fill(RingBuffer& out) {
     moved_ += out.append(std::string_view(text_).substr(moved_));
     if (moved_ < text_.size()) return;
-    text_.clear();
+    std::string().swap(text_);  // frees its memory, which may be that of a whole response
     moved_ = 0;
     if (!source_) return;
     const auto source = source_;  // a copy, as the source may clear itself
--- a/src/net/ring_buffer.h
+++ b/src/net/ring_buffer.h
@@ -1,6 +1,6 @@
 /// \file
-/// A byte buffer of fixed capacity. Each connection owns one for each direction, so that its memory use is
-/// fixed from the start.
+/// A byte buffer of fixed capacity, which has memory only while it holds bytes. Each connection owns one for
+/// each direction, so that the largest number of connections bounds their memory.
 #pragma once
 
 #include <algorithm>
@@ -24,7 +24,7 @@
 class RingBuffer {
 public:
     /// \param capacity in bytes, above 0
-    explicit RingBuffer(std::size_t capacity) : bytes_(new char[capacity]), capacity_(capacity) {}
+    explicit RingBuffer(std::size_t capacity) : capacity_(capacity) {}
 
     /// The number of bytes held.
     std::size_t size() const { return size_; }
@@ -34,6 +34,14 @@
     std::size_t capacity() const { return capacity_; }
     /// Consumes all bytes.
     void clear() { consume(size_); }
+    /// Frees the memory if no bytes are held. Not to be called between a `prepare()` and its `commit()`.
+    void releaseIfEmpty() {
+        if (size_ > 0) return;
+        bytes_.reset();
+        head_ = 0;
+    }
+    /// The number of bytes of memory in use.
+    std::size_t allocatedBytes() const { return bytes_ ? capacity_ : 0; }
 
     /// The bytes held, oldest first; the second part is empty unless they wrap around.
     std::array<boost::asio::const_buffer, 2> data() const {
@@ -44,6 +52,7 @@
 
     /// The free memory, for a read into it; `commit()` the bytes that were read.
     std::array<boost::asio::mutable_buffer, 2> prepare() {
+        if (!bytes_) bytes_.reset(new char[capacity_]);
         const auto tail = (head_ + size_) % capacity_;
         const auto first = size_ == capacity_ ? 0 : std::min(freeSpace(), capacity_ - tail);
         return {boost::asio::mutable_buffer(bytes_.get() + tail, first),
@@ -55,7 +64,7 @@
 
     /// Drops the oldest `count` bytes, at most `size()`.
     void consume(std::size_t count) {
-        // head_ is never reset to 0: a read into the free space behind the tail may be in progress.
+        // head_ is not reset to 0: a read into the free space behind the tail may be in progress.
         count = std::min(count, size_);
         size_ -= count;
         head_ = (head_ + count) % capacity_;
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -82,6 +82,7 @@
     writing_ = false;
     if (!open_) return;
     out_.consume(count);
+    out_.releaseIfEmpty();
     if (error) return onConnectionError();
     onWriteProgress();
     write();
--- a/src/net/session.h
+++ b/src/net/session.h
@@ -32,6 +32,10 @@
     /// Of the sessions that may be evicted, the one with the lowest priority goes first, and of equals the
     /// one that has been inactive the longest.
     virtual int evictionPriority() const { return 0; }
+    /// Whether the session holds memory of a request whose client makes no progress.
+    virtual bool canYieldMemory() const { return false; }
+    /// Gives up such a request in favour of another one.
+    virtual void yieldMemory() { evict(); }
     /// Called by the manager every 50 ms: closes a session that has exceeded one of its time limits.
     virtual void enforceTimeouts() {}
     /// Closes at once. Unread bytes are read and dropped first, as they would turn the close into a reset.
--- a/src/net/session_manager.cpp
+++ b/src/net/session_manager.cpp
@@ -70,6 +70,17 @@
     return true;
 }
 
+bool SessionManager::evictForMemory() {
+    for (const auto& session : sessions_)
+        if (session->canYieldMemory()) {
+            ++evictions_;
+            const auto candidate = session;  // keeps it alive until it is closed
+            candidate->yieldMemory();
+            return true;
+        }
+    return false;
+}
+
 void SessionManager::closeIdleGracefully() {
     // In the next turn of the loop, as the bytes read in this one may not have been handled yet.
     for (const auto& session : sessions_)
--- a/src/net/session_manager.h
+++ b/src/net/session_manager.h
@@ -57,6 +57,9 @@
     std::size_t capacity() const { return capacity_; }
     /// Changes the limit. Connections above a lower one stay until they are closed.
     void setCapacity(std::size_t connections) { capacity_ = connections; }
+    /// Gives up the request of a session that takes memory and makes no progress, in favour of another
+    /// request. \return false if there is none
+    bool evictForMemory();
     /// The size in bytes of each direction's ring buffer of a connection.
     std::size_t ringBytes() const { return ringBytes_; }
     /// The bound address; also valid after the listening socket is closed.
--- a/src/net/socket_reader.h
+++ b/src/net/socket_reader.h
@@ -1,5 +1,6 @@
 /// \file
-/// The read loop of a connection: one read at a time, from its socket into its ring buffer. Owns neither.
+/// The read loop of a connection: one read at a time, from its socket into its ring buffer. Owns neither. The
+/// ring has no memory while it is empty and nothing arrives.
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
@@ -23,14 +24,13 @@
     void read(boost::asio::ip::tcp::socket& socket, RingBuffer& in, Handler onRead) {
         if (reading_ || ended_ || stopped_ || in.freeSpace() == 0) return;
         reading_ = true;
-        socket.async_read_some(in.prepare(), [this, &in, onRead = std::move(onRead)](
-                                                 const boost::system::error_code& error, std::size_t count) {
-            reading_ = false;
-            if (stopped_) return;
-            in.commit(count);
-            ended_ = error.failed();
-            onRead(error, count);
-        });
+        in.releaseIfEmpty();
+        socket.async_wait(
+            boost::asio::ip::tcp::socket::wait_read,
+            [this, &socket, &in, onRead = std::move(onRead)](const boost::system::error_code& error) mutable {
+                reading_ = false;
+                if (!stopped_) readAvailable(socket, in, std::move(onRead), error);
+            });
     }
 
     /// To be called when the owner closes the socket or gives it away. A pending read then adds no bytes,
@@ -42,6 +42,18 @@
     bool hasEnded() const { return ended_; }
 
 private:
+    template <typename Handler>
+    void readAvailable(boost::asio::ip::tcp::socket& socket, RingBuffer& in, Handler onRead,
+                       boost::system::error_code error) {
+        const std::size_t count = error ? 0 : socket.read_some(in.prepare(), error);
+        const bool isSpurious =
+            error == boost::asio::error::would_block || error == boost::asio::error::try_again;
+        if (isSpurious) return read(socket, in, std::move(onRead));
+        in.commit(count);
+        ended_ = error.failed();
+        onRead(error, count);
+    }
+
     bool reading_ = false;
     bool ended_ = false;
     bool stopped_ = false;
--- a/tests/app/resource_budget_test.cpp
+++ b/tests/app/resource_budget_test.cpp
@@ -71,3 +71,24 @@
     CHECK(app::availableDescriptors(systemLimit - 1) == systemLimit - 1);
     CHECK(app::availableDescriptors(systemLimit + 1) == systemLimit);
 }
+
+// Guards against a process that is killed for its memory: with few MiB and many descriptors, connections
+// alone took more than their part.
+TEST_CASE("resource budget: program, tables, connections and messages together fit into the memory") {
+    constexpr std::size_t kMiB = std::size_t{1024} * 1024;
+    constexpr std::size_t kConnectionBytes = 2048;
+    for (const int memoryMb : {16, 24, 32, 64, 192}) {
+        for (const int descriptors : {128, 256, 512, 1024}) {
+            CAPTURE(memoryMb);
+            CAPTURE(descriptors);
+            const auto budget = divideResources({descriptors, memoryMb, false});
+            const auto memory = std::size_t(memoryMb) * kMiB;
+            const auto connections = budget.httpClients + budget.httpNodes;
+            CHECK(6 * kMiB + memory / 16 + connections * (budget.ringBytes + kConnectionBytes) +
+                      budget.bodyBytes + budget.headBytes <=
+                  memory);
+            CHECK(budget.bodyBytes >= 2 * kMiB);
+            CHECK(budget.headBytes >= kMiB / 2);
+        }
+    }
+}
--- a/tests/http/message_writer_test.cpp
+++ b/tests/http/message_writer_test.cpp
@@ -22,17 +22,17 @@
 TEST_CASE("message writer: a node gets the request without hop-by-hop fields and with the remaining time") {
     auto message = request();
     message.body() = "abc";
-    const auto text = http::serializeNodeRequest(message, "1.2.3.4:5", 90'500);
+    const auto text = http::serializeNodeRequestHead(message, "1.2.3.4:5", 90'500);
     CHECK(text.find("PUT /api?a=b HTTP/1.1\r\n") == 0);
     CHECK(text.find("Req-Deadline-Ms: 90\r\n") != std::string::npos);
     CHECK(text.find("480") == std::string::npos);
-    CHECK(text.find("X-Hop") == std::string::npos);  // hop-by-hop, as Connection names it
-    CHECK(text.substr(text.size() - 7) == "\r\n\r\nabc");
+    CHECK(text.find("X-Hop") == std::string::npos);      // hop-by-hop, as Connection names it
+    CHECK(text.ends_with("Content-Length: 3\r\n\r\n"));  // the body follows it
 }
 
 TEST_CASE("message writer: a node is never told more time than the client gave") {
     const auto told = [](Micros remainingUs) {
-        const auto text = http::serializeNodeRequest(request(), "h", remainingUs);
+        const auto text = http::serializeNodeRequestHead(request(), "h", remainingUs);
         const auto start = text.find("Req-Deadline-Ms: ") + 17;
         return text.substr(start, text.find('\r', start) - start);
     };
@@ -44,9 +44,9 @@
 TEST_CASE("message writer: a streamed request ends with its head, in the given framing") {
     const http::BodyFraming byLength{false, 70'000};
     const http::BodyFraming inChunks{true, 0};
-    CHECK(
-        http::serializeNodeRequest(request(), "h", 1, &byLength).ends_with("Content-Length: 70000\r\n\r\n"));
-    CHECK(http::serializeNodeRequest(request(), "h", 1, &inChunks)
+    CHECK(http::serializeNodeRequestHead(request(), "h", 1, &byLength)
+              .ends_with("Content-Length: 70000\r\n\r\n"));
+    CHECK(http::serializeNodeRequestHead(request(), "h", 1, &inChunks)
               .ends_with("Transfer-Encoding: chunked\r\n\r\n"));
 }
 
--- a/tests/http/node_request_writer_test.cpp
+++ b/tests/http/node_request_writer_test.cpp
@@ -45,6 +45,12 @@
     net::RingBuffer out{64};
 };
 
+std::shared_ptr<const http::RequestMessage> messageWith(std::string body) {
+    auto message = std::make_shared<http::RequestMessage>();
+    message->body() = std::move(body);
+    return message;
+}
+
 constexpr http::BodyFraming kChunked{true, 0};
 constexpr http::BodyFraming kTenBytes{false, 10};
 
@@ -52,18 +58,19 @@
 
 TEST_CASE_FIXTURE(Fixture,
                   "node request writer: a request that is longer than the buffer is written in parts") {
-    http::NodeRequestWriter writer(std::string(100, 'x'), std::nullopt, client);
+    http::NodeRequestWriter writer(std::string(60, 'x'), messageWith(std::string(40, 'y')), std::nullopt,
+                                   client);
     CHECK(writer.fill(out) == Progress::BufferFull);
-    CHECK(drain(out) == std::string(64, 'x'));
+    CHECK(drain(out) == std::string(60, 'x') + std::string(4, 'y'));
     CHECK(writer.fill(out) == Progress::Complete);
-    CHECK(drain(out) == std::string(36, 'x'));
+    CHECK(drain(out) == std::string(36, 'y'));
     CHECK(writer.fill(out) == Progress::Complete);
     CHECK(out.size() == 0);
     CHECK(!writer.hasConsumedBody());
 }
 
 TEST_CASE_FIXTURE(Fixture, "node request writer: a streamed body follows the head as it arrives") {
-    http::NodeRequestWriter writer("head ", kTenBytes, client);
+    http::NodeRequestWriter writer("head ", nullptr, kTenBytes, client);
     CHECK(writer.fill(out) == Progress::AwaitingBody);
     CHECK(drain(out) == "head ");
     CHECK(!writer.hasConsumedBody());
@@ -80,7 +87,7 @@
 TEST_CASE_FIXTURE(Fixture, "node request writer: a chunked body ends with the last chunk") {
     client->received = "12345";
     client->complete = true;
-    http::NodeRequestWriter writer("head ", kChunked, client);
+    http::NodeRequestWriter writer("head ", nullptr, kChunked, client);
     CHECK(writer.fill(out) == Progress::Complete);
     CHECK(drain(out) == "head 5\r\n12345\r\n0\r\n\r\n");
 }
@@ -89,7 +96,7 @@
                   "node request writer: a last chunk that does not fit is written by the next call") {
     client->received = std::string(40, 'b');
     client->complete = true;
-    http::NodeRequestWriter writer("head ", kChunked, client);
+    http::NodeRequestWriter writer("head ", nullptr, kChunked, client);
     CHECK(writer.fill(out) == Progress::BufferFull);
     CHECK(drain(out) == "head 28\r\n" + std::string(40, 'b') + "\r\n");
     CHECK(writer.fill(out) == Progress::Complete);
@@ -97,7 +104,7 @@
 }
 
 TEST_CASE_FIXTURE(Fixture, "node request writer: a streamed body stops when its client is gone") {
-    http::NodeRequestWriter writer("head ", kTenBytes, client);
+    http::NodeRequestWriter writer("head ", nullptr, kTenBytes, client);
     client = nullptr;
     CHECK(writer.fill(out) == Progress::AwaitingBody);
     CHECK(drain(out) == "head ");
@@ -105,7 +112,7 @@
 
 TEST_CASE_FIXTURE(Fixture,
                   "node request writer: an attempt that ends while it consumes the body writes no more") {
-    http::NodeRequestWriter writer("head ", kTenBytes, client);
+    http::NodeRequestWriter writer("head ", nullptr, kTenBytes, client);
     client->received = "12345";
     client->onConsume = [&writer] { writer.stop(); };
     CHECK(writer.fill(out) == Progress::Stopped);
--- a/tests/http/pending_request_test.cpp
+++ b/tests/http/pending_request_test.cpp
@@ -30,7 +30,8 @@
     std::unique_ptr<http::PendingRequest> make() {
         auto message = std::make_shared<http::RequestMessage>(boost::beast::http::verb::get, "/api", 11);
         message->set("Req-Id", "a1");
-        return std::make_unique<http::PendingRequest>(context, client, message, std::nullopt, nullptr);
+        return std::make_unique<http::PendingRequest>(context, client, message, std::nullopt,
+                                                      http::PendingRequest::Reservations{});
     }
     GatewayFixture fixture;
     http::FrontContext context{fixture.engine, fixture.pool};
--- a/tests/http/request_reader_test.cpp
+++ b/tests/http/request_reader_test.cpp
@@ -125,3 +125,36 @@
     REQUIRE(reader.readHead(error));
     CHECK(reader.head().target() == "/2");
 }
+
+TEST_CASE_FIXTURE(Fixture, "request reader: the head's memory is reserved until the message is discarded") {
+    net::ByteBudget budget(4096);
+    receive("PUT /a HTTP/1.1\r\nReq-Id: 1\r\nContent-Length: 3\r\n\r\nabc");
+    REQUIRE(reader.readHead(error));
+    CHECK(reader.reserveHead(budget));
+    const auto reserved = budget.reservedBytes();
+    CHECK(reserved > 1024);
+    CHECK(reader.reserveHead(budget));  // only once
+    CHECK(budget.reservedBytes() == reserved);
+    REQUIRE(reader.readBody(error) == RequestProgress::Complete);
+    reader.discardMessage();
+    CHECK(budget.reservedBytes() == 0);
+    CHECK(reader.body().empty());
+    CHECK(reader.head().begin() == reader.head().end());
+}
+
+TEST_CASE_FIXTURE(Fixture, "request reader: a head beyond the memory budget gets no reservation") {
+    net::ByteBudget budget(1024);
+    receive("GET /a HTTP/1.1\r\nReq-Id: 1\r\n\r\n");
+    REQUIRE(reader.readHead(error));
+    CHECK(!reader.reserveHead(budget));
+    CHECK(budget.reservedBytes() == 0);
+}
+
+TEST_CASE_FIXTURE(Fixture, "request reader: trailers are no part of the head and are not kept") {
+    receive(
+        "PUT /a HTTP/1.1\r\nReq-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nReq-Id: 2\r\n\r\n");
+    REQUIRE(reader.readHead(error));
+    REQUIRE(reader.readBody(error) == RequestProgress::Complete);
+    CHECK(reader.head().count("Req-Id") == 1);
+    CHECK(reader.parser().get().begin() == reader.parser().get().end());
+}
--- a/tests/http/request_rejections_test.cpp
+++ b/tests/http/request_rejections_test.cpp
@@ -1,4 +1,6 @@
 // Requests that the front rejects itself.
+#include "http/client_limits.h"
+#include "http/http_test_support.h"
 #include "support/net_support.h"
 
 using namespace wingproxy;
@@ -123,6 +125,32 @@
     fixture.waitUntil([&] { return fixture.engine.bodyBudget().reservedBytes() == 0; });
 }
 
+// Guards against clients that stop in the middle of a body and keep all others from sending one.
+TEST_CASE("a request that makes no progress gives its memory up to another one") {
+    for (const bool streamed : {false, true}) {
+        CAPTURE(streamed);
+        auto config = testConfig();
+        config.memoryMb = 16;
+        GatewayFixture fixture(std::move(config));
+        auto& budget = streamed ? fixture.engine.headBudget() : fixture.engine.bodyBudget();
+        const auto stalled = fixture.client();
+        stalled->send(streamed ? streamedPut("Content-Length: 200000\r\n", id(1)) + "x"
+                               : streamedPut("Content-Length: 60000\r\n", id(1)) + "x");
+        fixture.waitUntil([&] { return budget.reservedBytes() > 0; });
+        budget.setLimit(budget.reservedBytes() + (streamed ? 512 : 0));
+        const auto other = fixture.client();
+        const auto isRejected = [&] { return other->hasReceived("HTTP/1.1 503 "); };
+        const std::string text = PlatformRequest{.id = id(2), .kind = "alta", .body = "short"}.text();
+        const auto stalledUntil = std::chrono::steady_clock::now() + http::kPartialRequestIdle;
+        fixture.waitUntil([&] { return std::chrono::steady_clock::now() > stalledUntil; });
+        other->send(text);
+        fixture.waitUntil([&] { return isRejected() || fixture.engine.counters().requestsSent > 0; });
+        CHECK(!isRejected());
+        fixture.waitUntil([&] { return stalled->ended; });
+        CHECK(stalled->hasReceived("HTTP/1.1 503 "));
+    }
+}
+
 TEST_CASE("Retry-After of the front's own rejections follows the settings") {
     for (const bool sendsRetryAfter : {true, false}) {
         auto config = testConfig();
--- a/tests/net/message_reader_test.cpp
+++ b/tests/net/message_reader_test.cpp
@@ -112,3 +112,29 @@
     CHECK(net::reserveBody(reader.parser(), budget, 40) != nullptr);
     CHECK(budget.reservedBytes() == 0);
 }
+
+// Guards against heads whose short fields take many times the memory of their bytes.
+TEST_CASE("message reader: a head with too many fields is refused before they are parsed") {
+    const auto headWith = [](std::size_t fields) {
+        std::string head = "GET / HTTP/1.1\r\n";
+        for (std::size_t i = 0; i < fields; ++i)
+            head += "a:\r\n";
+        return head;
+    };
+    const auto errorOf = [](const std::string& head, std::size_t piece) {
+        net::RingBuffer in(4096);
+        net::MessageReader<true> reader(in, kMaxBody);
+        boost::system::error_code error;
+        for (std::size_t at = 0; at < head.size() && !error; at += piece) {
+            in.append(std::string_view(head).substr(at, piece));
+            reader.readHead(in, error);
+        }
+        if (error) CHECK(reader.parser().get().begin() == reader.parser().get().end());
+        return error;
+    };
+    for (const std::size_t piece : {1, 7, 4096}) {
+        CAPTURE(piece);
+        CHECK(!errorOf(headWith(net::kMaxFields) + "\r\n" + std::string(300, '\n'), piece));
+        CHECK(errorOf(headWith(net::kMaxFields + 2), piece) == boost::beast::http::error::header_limit);
+    }
+}
--- a/tests/net/ring_buffer_test.cpp
+++ b/tests/net/ring_buffer_test.cpp
@@ -112,3 +112,17 @@
     CHECK(line == "ab");
     CHECK(contents(ring) == "cd");
 }
+
+TEST_CASE("ring buffer: an empty ring has no memory, and one that holds bytes keeps its memory") {
+    net::RingBuffer ring(8);
+    CHECK(ring.allocatedBytes() == 0);
+    CHECK(ring.append("abc") == 3);
+    ring.releaseIfEmpty();
+    CHECK(contents(ring) == "abc");
+    CHECK(ring.allocatedBytes() == 8);
+    ring.clear();
+    ring.releaseIfEmpty();
+    CHECK(ring.allocatedBytes() == 0);
+    CHECK(ring.append("defghijkl") == 8);
+    CHECK(contents(ring) == "defghijk");
+}
