--- a/include/wingproxy/policy.h
+++ b/include/wingproxy/policy.h
@@ -283,7 +283,7 @@
     NoTokens,       ///< the rate limit of its volume is reached
     NodeBusy,       ///< the nodes are at their concurrency limits, or are suspected outliers
     TooSlow,        ///< the nodes' latency exceeds what a request of this value may wait
-    NoCapacity,     ///< the front needed the client connection
+    NoCapacity,     ///< the front needed the client connection, or has no room for another volume
     NotRepeatable,  ///< an attempt ended, and another one is not allowed or would be too late
     RequestSpent,   ///< an attempt ended with `AttemptOutcome::requestSpent`
 };
--- a/src/app/resource_budget.cpp
+++ b/src/app/resource_budget.cpp
@@ -20,7 +20,7 @@
 /// Code, libraries and what the program holds without any client.
 constexpr std::size_t kProgramBytes = 6 * kMiB;
 /// Tables that grow with nodes and volumes, as a part of all memory.
-constexpr std::size_t kTablesDivisor = 16;
+constexpr std::size_t kTablesDivisor = 10;
 /// A connection besides its rings: session, parser, timers and pending handlers.
 constexpr std::size_t kConnectionBytes = std::size_t{2} * 1024;
 /// The least for messages, as a part of all memory.
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -40,11 +40,19 @@
 
 void Policy::Impl::handle(const RequestReceived& event) {
     const Request& info = event.request;
+    if (requests_.find(info.id)) return;
+    Volume* const volume = volumeOf(info);
+    if (!volume) {
+        const Settings& settings = context_.settings;
+        const Micros retryAfter = std::min(kMinRetryAfter, settings.maxRetryAfterUs);
+        context_.emit(
+            RejectRequest{info.id, settings.sendsRetryAfter ? retryAfter : 0, AnswerReason::NoCapacity});
+        return;
+    }
     PendingRequest* const request = requests_.open(info);
-    if (!request) return;
     const auto& classes = context_.settings.classes;
     const ClassInfo* classInfo = info.classIndex.isSet() ? &classes.at(info.classIndex.position()) : nullptr;
-    request->onReceived(classInfo, volumeOf(info), dispatcher_.nextSequence());
+    request->onReceived(classInfo, *volume, dispatcher_.nextSequence());
     const Micros untilDeadline = info.deadlineUs - context_.now;
     request->setDue(std::min(context_.now + request->latencyObjective(untilDeadline), info.deadlineUs));
     request->setCell(info.cell.isSet() ? info.cell : dispatcher_.cellForNewObject(info.units));
--- a/src/policy/policy_events.cpp
+++ b/src/policy/policy_events.cpp
@@ -5,11 +5,11 @@
 
 namespace wingproxy {
 
-Volume& Policy::Impl::volumeOf(const Request& request) {
-    const auto [volume, isNew] = volumes_.open(request);
+Volume* Policy::Impl::volumeOf(const Request& request) {
+    const auto [volume, isNew] = volumes_.open(request, [this] { return requests_.volumes(); });
     if (isNew) {
-        admission_.open(volume);
-        leases_.open(volume);
+        admission_.open(*volume);
+        leases_.open(*volume);
     }
     return volume;
 }
--- a/src/policy/policy_impl.h
+++ b/src/policy/policy_impl.h
@@ -72,7 +72,8 @@
 private:
     /// Used where a class has no latency objective, in microseconds.
     [[nodiscard]] static Micros defaultLatencyObjective();
-    [[nodiscard]] Volume& volumeOf(const Request& request);
+    /// The volume of a request; null if there are too many volumes.
+    [[nodiscard]] Volume* volumeOf(const Request& request);
     void admit(PendingRequest& request);
     void retryOrFail(PendingRequest& request);
     /// The delay that a rejected client is told to wait before it retries, in microseconds.
--- a/src/policy/volume.h
+++ b/src/policy/volume.h
@@ -177,6 +177,11 @@
         HeldLease& lease = entry->second;
         return lease.requested && lease.stamp == stamp ? &lease : nullptr;
     }
+    /// Whether a peer may hold chunks of this host.
+    [[nodiscard]] bool hasGrants(Micros now) const {
+        return std::any_of(state_.granted.begin(), state_.granted.end(),
+                           [&](const GrantedLease& lease) { return lease.until > now; });
+    }
     /// Drops the lease of a peer that restarted and no longer knows of it.
     void dropLease(HostIndex peer) { state_.held.erase(peer); }
     /// Chunks were requested of a peer: sets `lastPeerAsked` and `lastRequestAt`.
