HTTP: requests of clients that have left are not served, and their ids are not free

Seen by operators: a client closes with much still unread and its request is sent on; an id runs twice when it comes again after its client has left.

Cause: a client's close is read only behind all that it sent, and a request was submitted without looking; an id was free as soon as its last attempt had ended, even if the request had run.

The id of a request that had an attempt when its client left counts as open for the longest deadline or key window (409); 4,096 at most, as hashes. Counter disconnected.

--- a/src/app/metrics_report.cpp
+++ b/src/app/metrics_report.cpp
@@ -101,6 +101,7 @@
              {"no_memory", counters.noMemory},
              {"capacity_rejections", counters.crowded},
              {"left_to_successor", counters.leftToSuccessor},
+             {"disconnected", counters.disconnected},
              {"pipelined", counters.pipelined},
              {"hang_ups", connections.detectedDisconnects}}};
 }
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -67,7 +67,9 @@
 
 void ClientConnection::onDisconnected() {
     if (phase_ == Phase::AwaitingResponse) context_.onRequestNoLongerWaiting();
-    if (phase_ == Phase::AwaitingResponse || isStreaming()) context_.engine().clientDisconnected(requestId_);
+    if (phase_ != Phase::AwaitingResponse && !isStreaming()) return;
+    if (const auto pending = pending_.lock()) pending->onClientDisconnected();
+    context_.engine().clientDisconnected(requestId_);
 }
 
 void ClientConnection::onWriteProgress() {
@@ -161,9 +163,19 @@
     auto result = validateRequest(*message, streamed.has_value(), engine.settings(), context_.requestIds(),
                                   engine.now());
     if (const auto* rejection = std::get_if<Rejection>(&result)) return reject(*rejection);
+    if (closeIfClientLeft()) return;
     submit(std::get<ParsedRequest>(std::move(result)), message, streamed);
 }
 
+// A client's close is read only behind all bytes that it sent before. Until then its request would be sent to
+// a node, which may run it.
+bool ClientConnection::closeIfClientLeft() {
+    if (!hasClientClosed()) return false;
+    ++context_.counters().disconnected;
+    close();
+    return true;
+}
+
 void ClientConnection::submit(ParsedRequest parsed, const std::shared_ptr<const RequestMessage>& message,
                               std::optional<BodyFraming> streamed) {
     responseDeadline_ = ResponseDeadline(context_.engine().now(), parsed.timeoutUs);
@@ -178,6 +190,7 @@
     if (!streamed) reservations.body = reader_.body().releaseReservation();
     auto pending = std::make_shared<PendingRequest>(context_, net::sharedFrom(this), message, streamed,
                                                     std::move(reservations));
+    pending_ = pending;
     requestId_ = context_.engine().submit(std::move(parsed.request), std::move(pending));
     context_.engine().trace("request {} is {}", requestId_, toStringView((*message)["Req-Id"]));
     context_.keepConnectionsFree(sessionManager_.activeConnections());
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -19,6 +19,8 @@
 
 namespace wingproxy::http {
 
+class PendingRequest;
+
 struct Rejection;
 
 /// Owned by its session manager; pending handlers keep it alive until they have run.
@@ -57,6 +59,7 @@
                  net::ByteBudget::Reservation reservation = nullptr) override;
 
 protected:
+    bool dropsInput() const override { return phase_ != Phase::ReceivingRequest; }
     void onReceived() override;
     void onDisconnected() override;
     void onWriteProgress() override;
@@ -79,6 +82,7 @@
     void updateBodyDeadline();
     Micros bodyDeadline();
     void onBodyUnreadable();
+    bool closeIfClientLeft();
     void discardPipelined();
     void reject(const Rejection& rejection);
 
@@ -99,7 +103,8 @@
     RequestReader reader_;
     Phase phase_ = Phase::ReceivingRequest;
     RequestId requestId_ = 0;
-    Micros arrivedAt_ = 0;  // when the last byte of the request, so far, was read
+    std::weak_ptr<PendingRequest> pending_;  // the request in phase AwaitingResponse
+    Micros arrivedAt_ = 0;                   // when the last byte of the request, so far, was read
     bool keepAlive_ = true;
     bool isHttp10_ = false;
     bool hasSentRequest_ = false;   // the client has sent at least one complete head
--- a/src/http/front_context.h
+++ b/src/http/front_context.h
@@ -24,6 +24,7 @@
     std::uint64_t repeated = 0;         ///< requests with the Req-Id of an open one: 409
     std::uint64_t noMemory = 0;         ///< request bodies beyond the memory budget: 503
     std::uint64_t leftToSuccessor = 0;  ///< requests that came too late in an upgrade: 503
+    std::uint64_t disconnected = 0;     ///< requests that were read after their client had left
     std::uint64_t crowded = 0;    ///< requests to the engine to shed load, as too few connections were free
     std::uint64_t pipelined = 0;  ///< connections that sent a request while another was open
     std::uint64_t ok = 0;         ///< responses with 200
--- a/src/http/open_request_ids.h
+++ b/src/http/open_request_ids.h
@@ -2,7 +2,10 @@
 /// The Req-Ids of open requests of this process or of another process of this host.
 #pragma once
 
+#include <cstddef>
+#include <deque>
 #include <string>
+#include <unordered_map>
 #include <unordered_set>
 #include <vector>
 
@@ -20,6 +23,13 @@
     /// it.
     void remove(const std::string& id) { open_.erase(id); }
 
+    /// Called instead of `remove` if the client left and a node may still run the request: the id counts as
+    /// open for a while. At most `kMaxAbandoned` ids are kept, the latest ones.
+    /// \param until on the engine's clock
+    void abandon(const std::string& id, Micros until);
+    /// The most abandoned ids at once: clients choose them.
+    static constexpr std::size_t kMaxAbandoned = 4096;
+
     /// The ids of this process's open requests, in no particular order.
     std::vector<std::string> list() const { return {open_.begin(), open_.end()}; }
 
@@ -33,6 +43,9 @@
 
 private:
     std::unordered_set<std::string> open_;
+    // Abandoned ids are kept as hashes, as an id may be as long as a head.
+    std::unordered_map<std::size_t, Micros> abandonedUntil_;
+    std::deque<std::size_t> abandoned_;  // in the order in which they were abandoned
     std::unordered_set<std::string> openElsewhere_;
     Micros openElsewhereUntil_ = 0;
 };
--- a/src/http/pending_request.cpp
+++ b/src/http/pending_request.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "http/field_values.h"
@@ -21,9 +22,23 @@
     context_.requestIds().add(requestId());
 }
 
-PendingRequest::~PendingRequest() { context_.requestIds().remove(requestId()); }
+PendingRequest::~PendingRequest() {
+    if (clientDisconnected_ && hasAttempt_)
+        context_.requestIds().abandon(requestId(), context_.engine().now() + longestRun());
+    else
+        context_.requestIds().remove(requestId());
+}
+
+// A node drops a request at its deadline, and recognises its key for as long as the class says.
+Micros PendingRequest::longestRun() const {
+    Micros longest = 0;
+    for (const auto& info : context_.engine().settings().classes)
+        longest = std::max({longest, info.deadlineUs, info.keyWindowUs});
+    return longest;
+}
 
 std::shared_ptr<net::Attempt> PendingRequest::startAttempt(const net::AttemptParams& params) {
+    hasAttempt_ = true;
     // The engine destroys a request's attempts before the request, so `this` outlives the callback.
     auto onResponse = [this](AttemptIndex attempt, ResponseMessage response,
                              net::ByteBudget::Reservation reservation) {
--- a/src/http/pending_request.h
+++ b/src/http/pending_request.h
@@ -36,6 +36,9 @@
     void sendRejection(Micros retryAfterUs) override;
     void sendFailure() override;
 
+    /// The client has left. A node may still run the request, so its Req-Id is not free for a while.
+    void onClientDisconnected() { clientDisconnected_ = true; }
+
     /// Stores the complete buffered response of an attempt until the engine chooses which one to deliver.
     /// Streamed responses are not stored.
     void keepResponse(AttemptIndex attempt, ResponseMessage response,
@@ -46,6 +49,7 @@
         ResponseMessage message;
         net::ByteBudget::Reservation reservation;
     };
+    Micros longestRun() const;
     std::string requestId() const { return std::string((*message_)["Req-Id"]); }
     void respond(int status, std::string_view fields, std::string_view body,
                  net::ByteBudget::Reservation reservation = nullptr);
@@ -56,6 +60,8 @@
     std::optional<BodyFraming> streamed_;
     Reservations reservations_;
     std::map<AttemptIndex, BufferedResponse> responses_;
+    bool hasAttempt_ = false;
+    bool clientDisconnected_ = false;
 };
 
 }  // namespace wingproxy::http
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -136,14 +136,17 @@
 }
 
 bool Session::closeIfClientDisconnected() {
-    if (!hasClientDisconnected()) return false;
+    if (!open_ || isLingering()) return false;
+    // A pending read detects it, unless there is much to read before.
+    const bool isUnreadDropped = dropsInput() && unreadBytes() > 0;
+    if (socketReader_.isReading() && !isUnreadDropped) return false;
+    if (!hasClientClosed()) return false;
     onDisconnected();
     close();
     return true;
 }
 
-bool Session::hasClientDisconnected() {
-    if (!open_ || socketReader_.isReading() || isLingering()) return false;  // a pending read detects it
+bool Session::hasClientClosed() {
     pollfd descriptor{socket_.native_handle(), POLLRDHUP, 0};
     return ::poll(&descriptor, 1, 0) > 0 && (descriptor.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
--- a/src/net/session.h
+++ b/src/net/session.h
@@ -52,8 +52,7 @@
     bool isEvictable() const;
     /// Calls closeGracefully() if no response is outstanding and no byte is unread.
     void closeGracefullyIfIdle();
-    /// Detects that the client has closed or reset its connection while no read is pending, as the ring
-    /// buffer is full.
+    /// Detects that the client has closed or reset its connection while bytes that it sent before are unread.
     /// \return true if so; the session is then closed
     bool closeIfClientDisconnected();
 
@@ -61,6 +60,8 @@
     /// Produces output; see `PendingOutput`.
     using Source = PendingOutput::Source;
 
+    /// Whether bytes that arrive now are read only to be dropped.
+    virtual bool dropsInput() const { return false; }
     /// Called when in_ has received more bytes.
     virtual void onReceived() = 0;
     /// Called when the client has closed the connection or it broke. The session is closed afterwards.
@@ -87,6 +88,8 @@
     void startLingeringClose(std::chrono::milliseconds limit = std::chrono::milliseconds(2'000));
     /// Marks the session as active now: it becomes the last to be evicted among those of the same priority.
     void markActive() { sessionManager_.onSessionActive(*this); }
+    /// Whether the client has closed or reset its connection, even if bytes that it sent before are unread.
+    [[nodiscard]] bool hasClientClosed();
     /// Whether this process has not closed the socket yet.
     bool isOpen() const { return open_; }
     /// Closes with a reset, so that the client sees that its response is truncated.
@@ -107,7 +110,6 @@
     void onWritten(const boost::system::error_code& error, std::size_t count);
     void onConnectionError();
     void restartLingerTimer();
-    bool hasClientDisconnected();
     void discardUnread();
 
     SocketReader socketReader_;
--- a/tests/app/metrics_report_test.cpp
+++ b/tests/app/metrics_report_test.cpp
@@ -69,12 +69,13 @@
     counters.repeated = 14;
     counters.noMemory = 15;
     counters.crowded = 16;
+    counters.disconnected = 20;
     counters.pipelined = 17;
     counters.leftToSuccessor = 19;
     CHECK(formatLine(describeHttp(counters, {1, 2, 10, 18})) ==
           "counters http: connections=1 open=2 requests=3 ok=4 rejected=5 failed=6 malformed=7 too_large=8 "
           "unsupported=9 closed_idle=10 silent=11 slow=12 unread=13 repeated=14 no_memory=15 "
-          "capacity_rejections=16 left_to_successor=19 "
+          "capacity_rejections=16 left_to_successor=19 disconnected=20 "
           "pipelined=17 hang_ups=18");
 }
 
--- a/tests/http/client_disconnects_test.cpp
+++ b/tests/http/client_disconnects_test.cpp
@@ -158,3 +158,63 @@
     node->send(ok("para nadie"));
     fixture.waitUntil([&] { return fixture.outcomes(Outcome::Ok) == 1; });
 }
+
+// Guards against requests of a client that has long left: its close is read only behind all that it sent.
+TEST_CASE("a request that is read after its client has left is not sent to a node") {
+    GatewayFixture fixture;
+    {
+        tcp::socket client(fixture.io);
+        client.connect(net::tcpEndpoint(fixture.front.sessionManager().address()));
+        const std::string text =
+            PlatformRequest{.kind = "alta", .body = "x"}.text() + std::string(100'000, 'y');
+        asio::write(client, asio::buffer(text));
+    }
+    fixture.waitUntil([&] { return fixture.front.counters().disconnected == 1; });
+    fixture.waitUntil([&] { return fixture.front.sessionManager().activeConnections() == 0; });
+    CHECK(fixture.engine.counters().received == 0);
+    CHECK(fixture.node().connections.empty());
+}
+
+// Guards against a write that runs twice: the node of the client that left may still run it.
+TEST_CASE("the Req-Id of a client that left is refused while a node may run its request") {
+    auto config = testConfig();
+    for (auto& info : config.settings.classes) {
+        info.deadlineUs = 300'000;
+        info.keyWindowUs = 200'000;
+    }
+    GatewayFixture fixture(std::move(config));
+    const std::string text = PlatformRequest{.kind = "alta", .body = "x", .deadlineMs = 300}.text();
+    const auto first = fixture.client();
+    first->send(text);
+    const auto node = fixture.waitForNodeToReceive("Req-Id");
+    first->close();
+    fixture.waitUntil([&] { return fixture.engine.openRequests() == 0; });
+    node->send(ok("too late"));  // the request has run
+    fixture.waitUntil([&] { return fixture.outcomes(Outcome::Ok) == 1; });
+    const auto answerTo = [&](const std::string& message) {
+        const auto client = fixture.client();
+        client->send(message);
+        fixture.waitUntil([&] { return client->hasReceived("\r\n\r\n"); });
+        return client->received.substr(0, 12);
+    };
+    CHECK(answerTo(text) == "HTTP/1.1 409");
+    CHECK(fixture.front.counters().repeated == 1);
+    fixture.node().onConnection = [](TestConnection& connection) { connection.autoResponse = ok("x"); };
+    fixture.waitUntil([&] { return answerTo(text) == "HTTP/1.1 200"; }, "the id is free again");
+}
+
+TEST_CASE("the Req-Id of a client that left before any attempt is free at once") {
+    auto config = testConfig();
+    config.cachedEndpoints.list.nodes.clear();
+    GatewayFixture fixture(std::move(config), 0);
+    const std::string text = PlatformRequest{}.text();
+    const auto first = fixture.client();
+    first->send(text);
+    fixture.waitUntil([&] { return fixture.engine.openRequests() == 1; });
+    first->close();
+    fixture.waitUntil([&] { return fixture.engine.openRequests() == 0; });
+    const auto second = fixture.client();
+    second->send(text);
+    fixture.waitUntil([&] { return fixture.engine.openRequests() == 1; });
+    CHECK(fixture.front.counters().repeated == 0);
+}
