--- a/src/net/session_manager.cpp
+++ b/src/net/session_manager.cpp
@@ -1,5 +1,6 @@
 #include "net/session_manager.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 
 #include "net/session.h"
@@ -71,14 +72,13 @@
 }
 
 bool SessionManager::evictForMemory() {
-    for (const auto& session : sessions_)
-        if (session->canYieldMemory()) {
-            ++evictions_;
-            const auto candidate = session;  // keeps it alive until it is closed
-            candidate->yieldMemory();
-            return true;
-        }
-    return false;
+    const auto found = std::find_if(sessions_.begin(), sessions_.end(),
+                                    [](const auto& session) { return session->canYieldMemory(); });
+    if (found == sessions_.end()) return false;
+    const std::shared_ptr<Session> candidate = (*found)->shared_from_this();  // until it is closed
+    ++evictions_;
+    candidate->yieldMemory();
+    return true;
 }
 
 void SessionManager::closeIdleGracefully() {
--- a/tests/http/memory_limit_process_test.cpp
+++ b/tests/http/memory_limit_process_test.cpp
@@ -98,6 +98,7 @@
         };
         const auto& process = platform.startReady();
         std::vector<tcp::socket> clients;
+        clients.reserve(kClients);
         for (int i = 0; i < kClients; ++i)
             clients.push_back(sendAndStop(platform, crowd.message(i)));
         int number = kClients;
--- a/tests/policy/volume_table_test.cpp
+++ b/tests/policy/volume_table_test.cpp
@@ -19,7 +19,7 @@
     std::vector<Action> send(int plan, const std::string& volume, double units = 1) {
         Request next = request(++lastId, 0, plan, host.now, units);
         next.volume = volume;
-        const auto actions = host.batch({next});
+        auto actions = host.batch({next});
         for (const auto& forwarded : only<ForwardRequest>(actions))
             host.batch({ended(forwarded.id, 0, forwarded.node, Outcome::Ok)});
         return actions;
